--- a/src/main/java/oliveroute/Logic.java
+++ b/src/main/java/nettlewick/decision/Logic.java
@@ -1,4 +1,4 @@
-package oliveroute;
+package nettlewick.decision;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -6,8 +6,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
-import oliveroute.PeerNote.What;
-import oliveroute.State.*;
+import nettlewick.decision.PeerNote.What;
+import nettlewick.decision.State.*;
 
 /**
  * All decisions of a dispatcher. The types it speaks in stand in {@code Dispatcher.java}.
--- a/src/main/java/oliveroute/PeerNote.java
+++ b/src/main/java/nettlewick/decision/PeerNote.java
@@ -1,4 +1,4 @@
-package oliveroute;
+package nettlewick.decision;
 
 import java.nio.ByteBuffer;
 
--- a/src/main/java/oliveroute/WireCodec.java
+++ b/src/main/java/nettlewick/sim/WireCodec.java
@@ -1,4 +1,4 @@
-package oliveroute;
+package nettlewick.sim;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
@@ -11,11 +11,12 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import nettlewick.decision.Dispatcher;
 
 /** The bench's JSON wire to the types of {@link Dispatcher} and back. Decides nothing. */
-final class WireCodec {
+public final class WireCodec {
     /** Input that is not of this wire; the message is one plain line. */
-    static final class Malformed extends RuntimeException {
+    public static final class Malformed extends RuntimeException {
         private static final long serialVersionUID = 1;
 
         Malformed(String message) {
--- a/src/main/java/oliveroute/WireHost.java
+++ b/src/main/java/nettlewick/sim/WireHost.java
@@ -1,4 +1,4 @@
-package oliveroute;
+package nettlewick.sim;
 
 import java.io.BufferedInputStream;
 import java.io.BufferedOutputStream;
@@ -13,14 +13,15 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.BiFunction;
+import nettlewick.decision.Dispatcher;
 
 /** Hosts many instances of the decision module in one process and joins them to the wire. Decides nothing. */
-final class WireHost {
+public final class WireHost {
     private final Map<Integer, Dispatcher> instances = new HashMap<>();
     private final WireCodec codec = new WireCodec();
     private final BiFunction<Dispatcher.Settings, Long, Dispatcher> module;
 
-    WireHost() {
+    public WireHost() {
         this(Dispatcher::create);
     }
 
@@ -30,7 +31,7 @@
     }
 
     /** Answers each line of {@code in} with one line on {@code out} until the input ends. */
-    void serve(InputStream in, OutputStream out) throws IOException {
+    public void serve(InputStream in, OutputStream out) throws IOException {
         BufferedReader reader = new BufferedReader(
                 new InputStreamReader(new BufferedInputStream(in, 1 << 16), StandardCharsets.UTF_8), 1 << 16);
         BufferedOutputStream buffered = new BufferedOutputStream(out, 1 << 16);
--- a/src/test/java/oliveroute/LayoutTest.java
+++ b/src/test/java/nettlewick/LayoutTest.java
@@ -1,4 +1,4 @@
-package oliveroute;
+package nettlewick;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -11,11 +11,11 @@
 
 /** The decision module stays short enough to be read in one go, and needs nothing but the JDK. */
 class LayoutTest {
-    private static final Path MAIN = Path.of("src/main/java/oliveroute");
+    private static final Path MAIN = Path.of("src/main/java/nettlewick");
 
     @Test
     void moduleIsShort() throws IOException {
-        List<String> lines = Files.readAllLines(MAIN.resolve("Logic.java"));
+        List<String> lines = Files.readAllLines(MAIN.resolve("decision/Logic.java"));
         long filled = lines.stream().filter(line -> !line.isBlank()).count();
         assertTrue(filled <= 850, filled + " lines");
         assertTrue(lines.stream().filter(l -> l.startsWith("import")).noneMatch(l -> l.contains("jackson")));
@@ -23,8 +23,8 @@
 
     @Test
     void linesAreNarrow() throws IOException {
-        try (Stream<Path> files = Files.list(MAIN)) {
-            for (Path file : files.toList()) {
+        try (Stream<Path> files = Files.walk(MAIN)) {
+            for (Path file : files.filter(Files::isRegularFile).toList()) {
                 int number = 0;
                 for (String line : Files.readAllLines(file)) {
                     number++;
--- a/src/test/java/oliveroute/ExampleTest.java
+++ b/src/test/java/nettlewick/decision/ExampleTest.java
@@ -1,4 +1,4 @@
-package oliveroute;
+package nettlewick.decision;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -7,7 +7,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
-import oliveroute.Dispatcher.*;
+import nettlewick.decision.Dispatcher.*;
 import org.junit.jupiter.api.Test;
 
 /** The README's example: it runs, and the README shows it as it stands here. */
@@ -48,7 +48,7 @@
 
     @Test
     void readmeShowsThisExample() throws IOException {
-        String source = Files.readString(Path.of("src/test/java/oliveroute/ExampleTest.java"));
+        String source = Files.readString(Path.of("src/test/java/nettlewick/decision/ExampleTest.java"));
         String body = source.substring(source.indexOf("// example begins\n") + 18, source.indexOf("        // example ends"));
         assertTrue(Files.readString(Path.of("README.md")).contains(body.replace("\n        ", "\n").strip()));
     }
--- a/src/test/java/oliveroute/LogicTest.java
+++ b/src/test/java/nettlewick/decision/LogicTest.java
@@ -1,4 +1,4 @@
-package oliveroute;
+package nettlewick.decision;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -9,7 +9,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
-import oliveroute.Dispatcher.*;
+import nettlewick.decision.Dispatcher.*;
 import org.junit.jupiter.api.Test;
 
 /** Each failure found, as small as it can be told. */
--- a/src/test/java/oliveroute/PeersTest.java
+++ b/src/test/java/nettlewick/decision/PeersTest.java
@@ -1,4 +1,4 @@
-package oliveroute;
+package nettlewick.decision;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
@@ -8,7 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
-import oliveroute.Dispatcher.*;
+import nettlewick.decision.Dispatcher.*;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
--- a/src/test/java/oliveroute/RuleChecker.java
+++ b/src/test/java/nettlewick/decision/RuleChecker.java
@@ -1,10 +1,10 @@
-package oliveroute;
+package nettlewick.decision;
 
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import oliveroute.Dispatcher.*;
+import nettlewick.decision.Dispatcher.*;
 
 /** Watches one instance from outside and notes each broken rule. Shares no code with the module. */
 final class RuleChecker {
--- a/src/test/java/oliveroute/RulesTest.java
+++ b/src/test/java/nettlewick/decision/RulesTest.java
@@ -1,4 +1,4 @@
-package oliveroute;
+package nettlewick.decision;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -10,7 +10,7 @@
 import java.util.PriorityQueue;
 import java.util.SplittableRandom;
 import java.util.function.UnaryOperator;
-import oliveroute.Dispatcher.*;
+import nettlewick.decision.Dispatcher.*;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
--- a/src/test/java/oliveroute/Samples.java
+++ b/src/test/java/nettlewick/decision/Samples.java
@@ -1,8 +1,8 @@
-package oliveroute;
+package nettlewick.decision;
 
 import java.util.ArrayList;
 import java.util.List;
-import oliveroute.Dispatcher.*;
+import nettlewick.decision.Dispatcher.*;
 
 /** Settings and events that the tests share. */
 final class Samples {
--- a/src/test/java/oliveroute/WireTest.java
+++ b/src/test/java/nettlewick/sim/WireTest.java
@@ -1,4 +1,4 @@
-package oliveroute;
+package nettlewick.sim;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -11,7 +11,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import oliveroute.Dispatcher.*;
+import nettlewick.decision.Dispatcher.*;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
