--- a/src/main/java/nettlewick/cli/Main.java
+++ b/src/main/java/nettlewick/cli/Main.java
@@ -1,28 +1,48 @@
 package nettlewick.cli;
 
-import java.io.IOException;
-import nettlewick.sim.WireCodec;
-import nettlewick.sim.WireHost;
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.ParameterException;
 
-/** Command line of the jar: {@code drill} serves the bench's wire on standard input and output. */
+/** Command line of the jar: picks the sub-command and turns its errors into one line and an exit code. */
 public final class Main {
+    /** Exit code for what is wrong with the work asked for. */
+    static final int FAILED = 1;
+    /** Exit code for a command line or a configuration that is not in order. */
+    static final int MISUSED = 2;
+
     private Main() {
     }
 
-    /** Runs the adapter; anything but {@code drill} prints the usage and exits with 2. */
     public static void main(String[] args) {
-        if (args.length != 1 || !args[0].equals("drill")) {
-            System.err.println("usage: java -jar nettlewick.jar drill");
-            System.exit(2);
+        int code = run(args);
+        if (code != 0) {
+            System.exit(code);
+        }
+    }
+
+    /** Runs one command; the exit code comes back. */
+    static int run(String... args) {
+        JCommander.Builder builder = JCommander.newBuilder().programName("nettlewick");
+        for (Command command : new Command[] {new Serve(), new Drill(), new Version()}) {
+            builder.addCommand(command);
+        }
+        JCommander line = builder.build();
+        try {
+            line.parse(args);
+        } catch (ParameterException e) {
+            System.err.println("nettlewick: " + e.getMessage());
+            return MISUSED;
+        }
+        if (line.getParsedCommand() == null) {
+            line.usage();
+            return MISUSED;
         }
+        Command command = (Command) line.getCommands().get(line.getParsedCommand()).getObjects().get(0);
         try {
-            new WireHost().serve(System.in, System.out);
-        } catch (WireCodec.Malformed e) {
+            return command.run();
+        } catch (Misuse e) {
             System.err.println("nettlewick: " + e.getMessage());
-            System.exit(1);
-        } catch (IOException e) {
-            System.err.println("nettlewick: cannot read or write the wire: " + e.getMessage());
-            System.exit(1);
+            return e.code;
         }
     }
 }
--- /dev/null
+++ b/src/main/java/nettlewick/cli/Version.java
@@ -0,0 +1,13 @@
+package nettlewick.cli;
+
+import com.beust.jcommander.Parameters;
+
+@Parameters(commandNames = "version", commandDescription = "Print the version")
+final class Version implements Command {
+    @Override
+    public int run() {
+        String version = Version.class.getPackage().getImplementationVersion();
+        System.out.println("nettlewick " + (version == null ? "(not packaged)" : version));
+        return 0;
+    }
+}
--- /dev/null
+++ b/src/main/java/nettlewick/core/Core.java
@@ -0,0 +1,372 @@
+package nettlewick.core;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+import nettlewick.decision.Dispatcher;
+import nettlewick.decision.Dispatcher.*;
+
+/**
+ * Joins requests, attempts and outcomes to the decision module, and keeps the books that the rules ask for:
+ * one outcome for each dispatch, one answer for each probe, one final answer for each request, in time.
+ *
+ * <p>One thread runs {@link #run} and owns the module and all state here. Every other thread comes in by one
+ * queue, through the public methods; actions leave through {@link Transport} and {@link Request.Caller}.
+ * Time is in milliseconds; only here is it turned into the module's nanoseconds.
+ */
+public final class Core implements Runnable {
+    private static final Logger LOG = Logger.getLogger("core");
+    /** How long a probe is waited for: an answer older than this is worth nothing to the module. */
+    private static final double PROBE_PATIENCE = 1000;
+    /** Past the deadline by this much, a request that the module left open is failed here. */
+    private static final double GUARD = 10;
+    private static final double NANOS = 1e6;
+    private static final int BATCH = 512;
+
+    private final Clock clock;
+    private final Dispatcher module;
+    private final Settings settings;
+    private final Transport transport;
+    private final int maxOpen;
+    private final BlockingQueue<Runnable> inbox = new LinkedBlockingQueue<>();
+    private final PriorityQueue<Due> timers = new PriorityQueue<>();
+    private final Map<String, Open> open = new HashMap<>();
+    private final Set<String> ready = new HashSet<>();
+    private final Set<String> known = new HashSet<>();
+    private List<Event> batch = new ArrayList<>();
+    private double now;
+    private long timerNumber;
+    private int unanswered;
+    private volatile boolean stopped;
+
+    /** A request until its final answer and its last outcome. */
+    private static final class Open {
+        final Request request;
+        final List<Attempt> attempts = new ArrayList<>(2);
+        boolean answered;
+
+        Open(Request request) {
+            this.request = request;
+        }
+
+        boolean out() {
+            return attempts.stream().anyMatch(a -> !a.over());
+        }
+    }
+
+    private record Due(double at, long number, Runnable task) implements Comparable<Due> {
+        @Override
+        public int compareTo(Due other) {
+            int order = Double.compare(at, other.at);
+            return order != 0 ? order : Long.compare(number, other.number);
+        }
+    }
+
+    public Core(Clock clock, Settings settings, long seed, int maxOpen, Transport transport) {
+        this(clock, settings, Dispatcher.create(settings, seed), maxOpen, transport);
+    }
+
+    Core(Clock clock, Settings settings, Dispatcher module, int maxOpen, Transport transport) {
+        this.clock = clock;
+        this.settings = settings;
+        this.module = module;
+        this.maxOpen = maxOpen;
+        this.transport = transport;
+        this.now = clock.now();
+    }
+
+    // Ways in, from any thread
+
+    /** Takes a request; its caller gets exactly one final answer. */
+    public void submit(Request request) {
+        inbox.add(() -> arrive(request));
+    }
+
+    /** Nobody waits for this request any more: no answer is owed. */
+    public void abandon(Request request) {
+        inbox.add(() -> {
+            Open o = open.get(request.id());
+            if (o != null && o.request == request && answer(o)) {
+                batch.add(new Abandoned(request.id()));
+                forget(o);
+            }
+        });
+    }
+
+    /** News of the workers. */
+    public void learn(Roster roster) {
+        inbox.add(() -> take(roster));
+    }
+
+    /** An attempt shows a sign of life. */
+    public void progress(Attempt attempt, double share) {
+        inbox.add(() -> {
+            if (!attempt.over()) {
+                batch.add(new Progress(attempt.request().id(), attempt.number(), attempt.worker(), share));
+                Open o = open.get(attempt.request().id());
+                if (o != null && !o.answered) {
+                    o.request.caller().progress(share);
+                }
+            }
+        });
+    }
+
+    /** An attempt is over. Only its first end counts. */
+    public void ended(Attempt attempt, Attempt.Outcome outcome) {
+        double at = clock.now();
+        inbox.add(() -> end(attempt, outcome, at));
+    }
+
+    /** A probe is over. Only its first end counts. */
+    public void probed(Probe probe, Attempt.Outcome outcome) {
+        double at = clock.now();
+        inbox.add(() -> answered(probe, outcome, at));
+    }
+
+    /** A message from the dispatcher of that rank. */
+    public void heard(int rank, byte[] data) {
+        inbox.add(() -> batch.add(new PeerMessage(rank, data)));
+    }
+
+    /** Runs {@code then} with the number of requests that still wait for their final answer. */
+    public void unanswered(java.util.function.IntConsumer then) {
+        inbox.add(() -> then.accept(unanswered));
+    }
+
+    public void stop() {
+        inbox.add(() -> stopped = true);
+    }
+
+    // The one thread
+
+    @Override
+    public void run() {
+        decide();
+        while (!stopped) {
+            try {
+                turn(waiting());
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                return;
+            }
+        }
+    }
+
+    private double waiting() {
+        if (!batch.isEmpty()) {
+            return 0;
+        }
+        return timers.isEmpty() ? 1000 : Math.max(0, timers.peek().at() - clock.now());
+    }
+
+    /** One round: waits so many milliseconds for news at most, then takes all there is and decides on it. */
+    void turn(double wait) throws InterruptedException {
+        Runnable first = inbox.poll((long) Math.ceil(wait * 1000), TimeUnit.MICROSECONDS);
+        now = clock.now();
+        for (int taken = 0; first != null; first = ++taken < BATCH ? inbox.poll() : null) {
+            guarded(first);
+        }
+        while (!timers.isEmpty() && timers.peek().at() <= now) {
+            guarded(timers.poll().task());
+        }
+        while (!batch.isEmpty()) {
+            decide();
+        }
+    }
+
+    /** Danger: a fault in one task must not end the thread that all requests depend on. */
+    private static void guarded(Runnable task) {
+        try {
+            task.run();
+        } catch (RuntimeException e) {
+            LOG.log(Level.SEVERE, "core task failed", e);
+        }
+    }
+
+    private void decide() {
+        List<Event> events = batch;
+        batch = new ArrayList<>();
+        List<Action> actions;
+        try {
+            actions = module.handle(nanos(now), events);
+        } catch (RuntimeException e) {
+            LOG.log(Level.SEVERE, "decision module failed on " + events.size() + " events", e);
+            return;
+        }
+        for (Action action : actions) {
+            guarded(() -> carryOut(action));
+        }
+    }
+
+    private static long nanos(double millis) {
+        return Math.round(millis * NANOS);
+    }
+
+    private void after(double at, Runnable task) {
+        timers.add(new Due(at, timerNumber++, task));
+    }
+
+    // Events
+
+    private void arrive(Request r) {
+        if (open.containsKey(r.id())) {
+            // Danger: the module takes an id once; a second request under it would never be answered.
+            r.caller().failed("the id of a request that is still open");
+            return;
+        }
+        if (unanswered >= maxOpen) {
+            r.caller().refused(settings.limits().maxRetryAfter() / NANOS / 2);
+            return;
+        }
+        if (r.deadline() <= now) {
+            r.caller().failed("the deadline has passed");
+            return;
+        }
+        Open o = new Open(r);
+        open.put(r.id(), o);
+        unanswered++;
+        batch.add(new Arrival(r.id(), r.jobClass(), r.tenant(), nanos(r.deadline()) - nanos(now), r.slots(),
+                r.memory(), nanos(r.hint()), r.key(), r.repeat()));
+        after(r.deadline() + GUARD, () -> {
+            if (answer(o)) {
+                LOG.warning("request " + r.id() + " was left open until its deadline");
+                batch.add(new Abandoned(r.id()));
+                r.caller().failed("no answer in time");
+                forget(o);
+            }
+        });
+    }
+
+    private void take(Roster roster) {
+        if (roster.whole()) {
+            ready.clear();
+        }
+        List<WorkerEntry> entries = new ArrayList<>();
+        for (Roster.Entry e : roster.entries()) {
+            known.add(e.worker());
+            if (e.life() == Life.READY) {
+                ready.add(e.worker());
+            } else {
+                ready.remove(e.worker());
+            }
+            entries.add(new WorkerEntry(e.worker(), e.life(), e.startedAt() > 0 ? nanos(e.startedAt()) : 0,
+                    e.cell(), e.kind(), e.zone(), e.size()));
+        }
+        batch.add(new WorkerList(roster.whole(), entries));
+    }
+
+    private void end(Attempt a, Attempt.Outcome outcome, double at) {
+        if (!a.end()) {
+            return;
+        }
+        Request r = a.request();
+        Open o = open.get(r.id());
+        boolean settled = o == null || o.answered;
+        if (!settled && outcome.result() == Result.SERVED) {
+            answer(o);
+            r.caller().served(outcome.body());
+            settled = true;
+        }
+        batch.add(new Outcome(r.id(), a.number(), a.worker(), outcome.result(), nanos(at - a.sentAt()),
+                settled, outcome.load()));
+        if (o != null) {
+            forget(o);
+        }
+    }
+
+    private void answered(Probe probe, Attempt.Outcome outcome, double at) {
+        if (probe.end()) {
+            batch.add(new ProbeAnswer(probe.worker(), outcome.result(), nanos(at - probe.sentAt()),
+                    outcome.load()));
+        }
+    }
+
+    /** True once only: guards the rule of one final answer for each request. */
+    private boolean answer(Open o) {
+        boolean first = !o.answered;
+        o.answered = true;
+        unanswered -= first ? 1 : 0;
+        return first;
+    }
+
+    private void forget(Open o) {
+        if (o.answered && !o.out()) {
+            open.remove(o.request.id(), o);
+        }
+    }
+
+    // Actions
+
+    private void carryOut(Action action) {
+        if (action instanceof Dispatch d) {
+            dispatch(d);
+        } else if (action instanceof Refuse a) {
+            Open o = open.get(a.id());
+            if (o != null && answer(o)) {
+                o.request.caller().refused(a.retryAfter() / NANOS);
+                forget(o);
+            }
+        } else if (action instanceof Fail a) {
+            Open o = open.get(a.id());
+            if (o != null && answer(o)) {
+                o.request.caller().failed("given up");
+                forget(o);
+            }
+        } else if (action instanceof Cancel c) {
+            Open o = open.get(c.id());
+            if (o != null && c.attempt() >= 0 && c.attempt() < o.attempts.size()) {
+                giveUp(o.attempts.get(c.attempt()), Result.CANCELLED);
+            }
+        } else if (action instanceof Dispatcher.Probe p) {
+            Probe probe = new Probe(p.worker(), now);
+            after(now + PROBE_PATIENCE, () -> {
+                answered(probe, Attempt.Outcome.of(Result.TIMEOUT), now);
+                transport.drop(probe);
+            });
+            transport.probe(probe);
+        } else if (action instanceof TellPeer t) {
+            transport.tell(t.rank(), t.data());
+        } else if (action instanceof SetTimer t) {
+            after(now + t.delay() / NANOS, () -> batch.add(new Timer(t.name())));
+        }
+    }
+
+    private void dispatch(Dispatch d) {
+        Open o = open.get(d.id());
+        if (o == null) {
+            return;
+        }
+        Request r = o.request;
+        Attempt a = new Attempt(r, o.attempts.size(), d.worker(), now);
+        o.attempts.add(a);
+        if (o.answered || now >= r.deadline() || a.number() >= settings.limits().attempts()) {
+            end(a, Attempt.Outcome.of(Result.MOOT), now);
+        } else if (!known.contains(d.worker())) {
+            end(a, Attempt.Outcome.of(Result.UNREACHABLE), now);
+        } else if (!ready.contains(d.worker())) {
+            // Danger: sent to a runner that drains. It is looked at again here and before the first byte.
+            end(a, Attempt.Outcome.of(Result.FULL), now);
+        } else {
+            double until = d.timeout() > 0 ? Math.min(r.deadline(), now + d.timeout() / NANOS) : r.deadline();
+            after(until, () -> giveUp(a, Result.TIMEOUT));
+            transport.send(a);
+        }
+    }
+
+    /** Stops waiting for an attempt; what comes of it later counts no more. */
+    private void giveUp(Attempt a, Result result) {
+        if (!a.over()) {
+            end(a, Attempt.Outcome.of(result), now);
+            transport.drop(a);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/nettlewick/net/Address.java
@@ -0,0 +1,29 @@
+package nettlewick.net;
+
+import io.vertx.core.net.SocketAddress;
+import java.util.regex.Pattern;
+
+/** Addresses as the platform writes them: an IP address and a port. */
+public final class Address {
+    // Danger: a name would ask DNS, which the platform does not have, and hang.
+    private static final Pattern IPV4 = Pattern.compile("(\\d{1,3}\\.){3}\\d{1,3}");
+
+    private Address() {
+    }
+
+    /** Reads {@code ip:port}; {@code field} names it in the message. */
+    public static SocketAddress parse(String field, String text) {
+        int colon = text.lastIndexOf(':');
+        String host = colon < 0 ? "" : text.substring(0, colon);
+        boolean six = host.startsWith("[") && host.endsWith("]");
+        try {
+            int port = Integer.parseInt(text.substring(colon + 1));
+            if (port >= 0 && port <= 65535 && (six || IPV4.matcher(host).matches())) {
+                return SocketAddress.inetSocketAddress(port, six ? host.substring(1, host.length() - 1) : host);
+            }
+        } catch (IllegalArgumentException e) {
+            // said below
+        }
+        throw new Fields.Bad(field, '"' + text + '"', "an IP address and a port");
+    }
+}
--- /dev/null
+++ b/src/main/java/nettlewick/net/CallAttempt.java
@@ -0,0 +1,91 @@
+package nettlewick.net;
+
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.RequestOptions;
+import io.vertx.core.parsetools.RecordParser;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+import nettlewick.core.Attempt;
+import nettlewick.core.Request;
+import nettlewick.decision.Dispatcher.Load;
+import nettlewick.decision.Dispatcher.Result;
+
+/** One attempt of an RPC at a sim runner; the answer tells of it line by line. */
+final class CallAttempt extends Call {
+    /** A result is 64 KiB at most, and JSON may write a byte of it in six. */
+    private static final int LINE_MOST = 6 * 65536 + 4096;
+
+    private final Attempt attempt;
+
+    CallAttempt(Attempt attempt, Subchannels subchannels) {
+        super(subchannels);
+        this.attempt = attempt;
+    }
+
+    @Override
+    RequestOptions head() {
+        Request request = attempt.request();
+        Rpc rpc = (Rpc) request.cargo();
+        double left = Math.max(0.001, (request.deadline() - subchannels.now()) / 1000);
+        RequestOptions head = new RequestOptions().setMethod(rpc.method()).setURI(rpc.uri())
+                .putHeader("X-Request-Id", request.id())
+                .putHeader("X-Class", request.jobClass())
+                .putHeader("X-Deadline", String.format(Locale.ROOT, "%.3f", left))
+                .putHeader("Content-Length", Integer.toString(rpc.body().length()));
+        if (rpc.idempotencyKey() != null) {
+            head.putHeader("Idempotency-Key", rpc.idempotencyKey());
+        }
+        return head;
+    }
+
+    @Override
+    Buffer body() {
+        return ((Rpc) attempt.request().cargo()).body();
+    }
+
+    @Override
+    void answer(HttpClientResponse response) {
+        if (response.statusCode() != OK) {
+            finish(unserved(response), null, LoadReport.parse(response.getHeader("X-Load")));
+            return;
+        }
+        RecordParser lines = RecordParser.newDelimited("\n").maxRecordSize(LINE_MOST);
+        lines.exceptionHandler(e -> finish(Result.ERROR, null, null));
+        lines.handler(line -> {
+            if (!over() && line.length() > 0) {
+                line(line.toString(StandardCharsets.UTF_8));
+            }
+        });
+        response.handler(lines);
+    }
+
+    private void line(String text) {
+        try {
+            Fields f = Fields.parse("a line", text);
+            Load load = f.has("load") ? LoadReport.of(f.part("load")) : null;
+            switch (f.text("state")) {
+                case "started" -> subchannels.core().progress(attempt, 0);
+                case "running" -> subchannels.core().progress(attempt, f.numberOr("share", 0, 0, 1));
+                case "done" -> finish(Result.SERVED, f.text("result").getBytes(StandardCharsets.UTF_8), load);
+                case "failed" -> finish(Result.ERROR, null, load);
+                case "returned" -> finish(Result.FULL, null, load);
+                case "lost" -> finish(Result.BROKEN, null, load);
+                default -> { }
+            }
+        } catch (Fields.Bad e) {
+            finish(Result.ERROR, null, null);
+        }
+    }
+
+    @Override
+    void answered() {
+        // Danger: an answer that ends in good order without its last line tells nothing: it may have run.
+        broke();
+    }
+
+    @Override
+    void tell(Attempt.Outcome outcome) {
+        subchannels.core().ended(attempt, outcome);
+    }
+}
--- /dev/null
+++ b/src/main/java/nettlewick/net/CallState.java
@@ -0,0 +1,55 @@
+package nettlewick.net;
+
+import nettlewick.decision.Dispatcher.Result;
+
+/**
+ * What is known of one call attempt from its place on a connection: whether it may have run, and its one end.
+ * Holds no socket, so that a model can be checked against it.
+ */
+final class CallState {
+    /** How far the call has come. */
+    enum Phase { CONNECTING, WRITING, SENT, OVER }
+
+    private Phase phase = Phase.CONNECTING;
+    private Result end;
+
+    Phase phase() {
+        return phase;
+    }
+
+    /** How it ended; null while it has not. */
+    Result end() {
+        return end;
+    }
+
+    /** A connection is there and the first byte goes out. False if the call is over by now: write nothing. */
+    boolean write() {
+        if (phase != Phase.CONNECTING) {
+            return false;
+        }
+        phase = Phase.WRITING;
+        return true;
+    }
+
+    /** The last byte is written: from now on it may have run. */
+    void written() {
+        phase = phase == Phase.WRITING ? Phase.SENT : phase;
+    }
+
+    /** The connection never came up, broke or ended. Returns the end, or null if there was one before. */
+    Result broke() {
+        // Danger: a request cut off before its last byte never ran and may go again, a mark-submit too;
+        // one that broke after it may have run.
+        return finish(phase == Phase.SENT ? Result.BROKEN : Result.UNREACHABLE);
+    }
+
+    /** The runner, or this side, ended the call so. Returns the end, or null if there was one before. */
+    Result finish(Result result) {
+        if (phase == Phase.OVER) {
+            return null;
+        }
+        phase = Phase.OVER;
+        end = result;
+        return result;
+    }
+}
--- /dev/null
+++ b/src/main/java/nettlewick/net/Fields.java
@@ -0,0 +1,162 @@
+package nettlewick.net;
+
+import com.google.gson.JsonArray;
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParseException;
+import com.google.gson.JsonParser;
+import com.google.gson.JsonPrimitive;
+import java.util.ArrayList;
+import java.util.List;
+
+/** The fields of one JSON object, with one plain line for what is missing or makes no sense. */
+public final class Fields {
+    /** Names the field and its value in one line. */
+    public static final class Bad extends RuntimeException {
+        private static final long serialVersionUID = 1;
+
+        public Bad(String field, Object value, String wanted) {
+            super(line(field + " is " + value + ", but has to be " + wanted));
+        }
+
+        private static String line(String text) {
+            String flat = text.replaceAll("[\\r\\n]+", " ");
+            return flat.length() > 300 ? flat.substring(0, 300) + "..." : flat;
+        }
+    }
+
+    private final String where;
+    private final JsonObject object;
+
+    private Fields(String where, JsonObject object) {
+        this.where = where;
+        this.object = object;
+    }
+
+    /** Reads a text that holds one object; {@code name} is what it is called in messages. */
+    public static Fields parse(String name, String text) {
+        JsonElement element;
+        try {
+            element = JsonParser.parseString(text);
+        } catch (JsonParseException e) {
+            throw new Bad(name, "not JSON (" + e.getMessage() + ")", "a JSON object");
+        }
+        return new Fields("", object(name, element));
+    }
+
+    private static JsonObject object(String name, JsonElement element) {
+        if (element == null || !element.isJsonObject()) {
+            throw new Bad(name, element, "an object");
+        }
+        return element.getAsJsonObject();
+    }
+
+    public String path(String name) {
+        return where + name;
+    }
+
+    public boolean has(String name) {
+        return object.has(name) && !object.get(name).isJsonNull();
+    }
+
+    public String text(String name) {
+        JsonElement e = object.get(name);
+        if (e instanceof JsonPrimitive p && p.isString()) {
+            return p.getAsString();
+        }
+        throw new Bad(path(name), e, "a text");
+    }
+
+    public String textOr(String name, String otherwise) {
+        return has(name) ? text(name) : otherwise;
+    }
+
+    public double number(String name, double least, double most) {
+        JsonElement e = object.get(name);
+        double value = e instanceof JsonPrimitive p && p.isNumber() ? p.getAsDouble() : Double.NaN;
+        if (!(value >= least && value <= most)) {
+            throw new Bad(path(name), e, "a number from " + plain(least) + " to " + plain(most));
+        }
+        return value;
+    }
+
+    public double numberOr(String name, double otherwise, double least, double most) {
+        return has(name) ? number(name, least, most) : otherwise;
+    }
+
+    public long whole(String name, long least, long most) {
+        double value = number(name, least, most);
+        if (value != Math.rint(value)) {
+            throw new Bad(path(name), object.get(name), "a whole number");
+        }
+        return object.get(name).getAsLong();
+    }
+
+    public long wholeOr(String name, long otherwise, long least, long most) {
+        return has(name) ? whole(name, least, most) : otherwise;
+    }
+
+    public boolean flag(String name) {
+        if (!has(name)) {
+            return false;
+        }
+        if (object.get(name) instanceof JsonPrimitive p && p.isBoolean()) {
+            return p.getAsBoolean();
+        }
+        throw new Bad(path(name), object.get(name), "true or false");
+    }
+
+    public Fields part(String name) {
+        return new Fields(path(name) + ".", object(path(name), object.get(name)));
+    }
+
+    /** The part, or an empty one. */
+    public Fields partOr(String name) {
+        return has(name) ? part(name) : new Fields(path(name) + ".", new JsonObject());
+    }
+
+    public List<Fields> parts(String name) {
+        List<Fields> parts = new ArrayList<>();
+        for (JsonElement e : array(name)) {
+            String place = path(name) + "[" + parts.size() + "]";
+            parts.add(new Fields(place + ".", object(place, e)));
+        }
+        return parts;
+    }
+
+    public List<String> texts(String name) {
+        List<String> texts = new ArrayList<>();
+        for (JsonElement e : array(name)) {
+            if (!(e instanceof JsonPrimitive p && p.isString())) {
+                throw new Bad(path(name) + "[" + texts.size() + "]", e, "a text");
+            }
+            texts.add(e.getAsString());
+        }
+        return texts;
+    }
+
+    public List<Double> numbers(String name) {
+        List<Double> numbers = new ArrayList<>();
+        for (JsonElement e : array(name)) {
+            if (!(e instanceof JsonPrimitive p && p.isNumber())) {
+                throw new Bad(path(name) + "[" + numbers.size() + "]", e, "a number");
+            }
+            numbers.add(e.getAsDouble());
+        }
+        return numbers;
+    }
+
+    private JsonArray array(String name) {
+        if (!has(name)) {
+            return new JsonArray();
+        }
+        if (object.get(name) instanceof JsonArray array) {
+            return array;
+        }
+        throw new Bad(path(name), object.get(name), "an array");
+    }
+
+    private static String plain(double value) {
+        return value == Math.rint(value) && Math.abs(value) < 1e15 ? Long.toString((long) value) : "" + value;
+    }
+}
--- /dev/null
+++ b/src/main/java/nettlewick/net/IdlePool.java
@@ -0,0 +1,65 @@
+package nettlewick.net;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.function.Consumer;
+
+/** Connections that carry nothing: the newest is reused first, and none that has idled too long. */
+final class IdlePool<T> {
+    private record Idle<T>(T link, double since) {
+    }
+
+    private final Deque<Idle<T>> idle = new ArrayDeque<>();
+    private final double patience;
+    private final Consumer<T> close;
+
+    /**
+     * @param patience milliseconds of idling; well below the time at which the runner's side closes, since a
+     *                 request on a connection closed by then ends as a reset that a mark-submit cannot repeat
+     */
+    IdlePool(double patience, Consumer<T> close) {
+        this.patience = patience;
+        this.close = close;
+    }
+
+    void put(T link, double now) {
+        idle.addLast(new Idle<>(link, now));
+    }
+
+    /** The connection used last; null if none is young enough. */
+    T take(double now) {
+        expire(now);
+        Idle<T> newest = idle.pollLast();
+        return newest == null ? null : newest.link();
+    }
+
+    /** Closes what has idled too long. */
+    void expire(double now) {
+        while (!idle.isEmpty() && now - idle.peekFirst().since() >= patience) {
+            close.accept(idle.pollFirst().link());
+        }
+    }
+
+    void remove(T link) {
+        idle.removeIf(i -> i.link() == link);
+    }
+
+    /** Closes the one that has idled longest; false if there is none. */
+    boolean closeOldest() {
+        Idle<T> oldest = idle.pollFirst();
+        if (oldest != null) {
+            close.accept(oldest.link());
+        }
+        return oldest != null;
+    }
+
+    void closeAll() {
+        while (closeOldest()) {
+            continue;
+        }
+    }
+
+    int size() {
+        return idle.size();
+    }
+}
--- /dev/null
+++ b/src/main/java/nettlewick/net/LoadReport.java
@@ -0,0 +1,63 @@
+package nettlewick.net;
+
+import java.util.HashMap;
+import java.util.Map;
+import nettlewick.decision.Dispatcher.Load;
+
+/** Load reports as sim runners write them: {@code name=value,name=value}, or the same as a JSON object. */
+final class LoadReport {
+    private LoadReport() {
+    }
+
+    /** The report in a header or body; null if it says nothing that can be read. */
+    static Load parse(String text) {
+        if (text == null || text.isBlank()) {
+            return null;
+        }
+        if (text.stripLeading().startsWith("{")) {
+            try {
+                return of(Fields.parse("the load report", text));
+            } catch (Fields.Bad e) {
+                return null;
+            }
+        }
+        Map<String, Double> values = pairs(text);
+        return values.isEmpty() ? null : load(name -> values.getOrDefault(name, Double.NaN));
+    }
+
+    static Load of(Fields f) {
+        return load(name -> f.numberOr(name, Double.NaN, -1e15, 1e15));
+    }
+
+    /** The pairs of {@code name=value,name=value} whose value is a number. */
+    static Map<String, Double> pairs(String text) {
+        Map<String, Double> values = new HashMap<>();
+        for (String pair : text.split(",")) {
+            int equals = pair.indexOf('=');
+            if (equals > 0) {
+                try {
+                    values.put(pair.substring(0, equals).strip(), Double.valueOf(pair.substring(equals + 1).strip()));
+                } catch (NumberFormatException e) {
+                    // one odd value does not spoil the others
+                }
+            }
+        }
+        values.values().removeIf(v -> !Double.isFinite(v));
+        return values;
+    }
+
+    private interface Values {
+        double get(String name);
+
+        default double either(String name, String other) {
+            double value = get(name);
+            return Double.isNaN(value) ? get(other) : value;
+        }
+    }
+
+    /** The same value has one name in the settings and may have the simulator's on the sockets. */
+    private static Load load(Values v) {
+        return new Load(v.get("x0"), v.get("x1"), v.either("depth", "queue"), v.either("concurrent", "inflight"),
+                v.either("load_share", "util"));
+    }
+}
--- /dev/null
+++ b/src/main/java/nettlewick/net/Node.java
@@ -0,0 +1,95 @@
+package nettlewick.net;
+
+import io.vertx.core.Context;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import io.vertx.core.file.FileSystemOptions;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+import nettlewick.core.Clock;
+import nettlewick.core.Core;
+import nettlewick.decision.Dispatcher.JobClass;
+
+/** One real dispatcher: puts core, subchannels, resolver watch, peers and the platform's front together. */
+public final class Node {
+    private static final Logger LOG = Logger.getLogger("node");
+    /** New connections keep coming for this long after SIGTERM. */
+    private static final long ACCEPT_ON = 700;
+    private static final long SHUT_SPARE = 500;
+
+    private final Config config;
+    private final Clock clock;
+    private final Vertx vertx;
+    private Context loop;
+    private Core core;
+    private Subchannels subchannels;
+    private PlatformFront front;
+    private volatile boolean holdsList;
+    private volatile int port;
+
+    public Node(Config config, Clock clock) {
+        this.config = config;
+        this.clock = clock;
+        // The machine has one core and no disk: one event loop, no cache of files, no DNS.
+        System.setProperty("vertx.disableDnsResolver", "true");
+        vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1)
+                .setInternalBlockingPoolSize(1).setFileSystemOptions(new FileSystemOptions()
+                        .setFileCachingEnabled(false).setClassPathResolvingEnabled(false)));
+    }
+
+    /** Starts all parts; done once the sockets listen. */
+    public Future<Void> start() {
+        Promise<Void> started = Promise.promise();
+        loop = vertx.getOrCreateContext();
+        loop.runOnContext(v -> {
+            PeerSocket peers = new PeerSocket(vertx, config);
+            subchannels = new Subchannels(vertx, loop, config, clock, peers);
+            core = new Core(clock, config.settings(), config.seed(), config.maxOpen(), subchannels);
+            subchannels.bind(core);
+            front = new PlatformFront(vertx, loop, config, clock, core, () -> holdsList);
+            Thread thread = new Thread(core, "core");
+            thread.setDaemon(true);
+            thread.start();
+            new ResolverWatch(vertx, subchannels.client(), config.discovery(), clock, news -> {
+                subchannels.update(news);
+                holdsList = true;
+            }).start(config.known());
+            Future.all(peers.listen(core), front.listen().onSuccess(p -> port = p)).<Void>mapEmpty()
+                    .onComplete(started);
+        });
+        return started.future().onSuccess(v -> LOG.info("dispatcher " + config.name() + " listens on "
+                + config.listen().hostAddress() + ":" + port));
+    }
+
+    public int port() {
+        return port;
+    }
+
+    /** A planned end: goes on accepting for a while, then answers all that was taken. Blocks until then. */
+    public void shutDown() {
+        LOG.info("shutting down");
+        CountDownLatch done = new CountDownLatch(1);
+        long longest = config.settings().classes().stream().mapToLong(JobClass::deadline).max().orElse(0)
+                / 1_000_000 + SHUT_SPARE;
+        loop.runOnContext(v -> {
+            front.drain();
+            vertx.setTimer(ACCEPT_ON, id -> front.shut(longest).onComplete(r -> done.countDown()));
+        });
+        try {
+            done.await(ACCEPT_ON + longest + SHUT_SPARE, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        LOG.log(Level.INFO, "shut down");
+    }
+
+    /** Ends at once, for tests. */
+    public Future<Void> close() {
+        core.stop();
+        return vertx.close();
+    }
+}
--- /dev/null
+++ b/src/main/java/nettlewick/net/PeerSocket.java
@@ -0,0 +1,56 @@
+package nettlewick.net;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.datagram.DatagramSocket;
+import io.vertx.core.datagram.DatagramSocketOptions;
+import io.vertx.core.net.SocketAddress;
+import java.util.HashMap;
+import java.util.Map;
+import nettlewick.core.Core;
+
+/** Short messages to and from the other dispatchers. Lives on the event loop. */
+final class PeerSocket {
+    private static final int MOST = 256;
+
+    private final Config config;
+    private final DatagramSocket socket;
+    private final Map<String, Integer> ranks = new HashMap<>();
+
+    PeerSocket(Vertx vertx, Config config) {
+        this.config = config;
+        socket = vertx.createDatagramSocket(new DatagramSocketOptions());
+        for (int rank = 0; rank < config.peers().size(); rank++) {
+            ranks.put(name(config.peers().get(rank)), rank);
+        }
+    }
+
+    private static String name(SocketAddress address) {
+        return address.hostAddress() + ':' + address.port();
+    }
+
+    Future<Void> listen(Core core) {
+        if (config.peerListen() == null || !config.settings().limits().peers()) {
+            return Future.succeededFuture();
+        }
+        socket.exceptionHandler(e -> { });
+        socket.handler(packet -> {
+            // Danger: anybody can send a datagram; only a known dispatcher is heard, and only short ones.
+            Integer rank = ranks.get(name(packet.sender()));
+            if (rank != null && rank != config.settings().rank() && packet.data().length() <= MOST) {
+                core.heard(rank, packet.data().getBytes());
+            }
+        });
+        return socket.listen(config.peerListen().port(), config.peerListen().hostAddress()).mapEmpty();
+    }
+
+    void send(int rank, byte[] data) {
+        // Danger: one longer datagram voids the whole run.
+        if (rank >= 0 && rank < config.peers().size() && rank != config.settings().rank()
+                && data.length <= MOST) {
+            SocketAddress to = config.peers().get(rank);
+            socket.send(Buffer.buffer(data), to.port(), to.hostAddress());
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/nettlewick/net/ResolverResult.java
@@ -0,0 +1,39 @@
+package nettlewick.net;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import io.vertx.core.net.SocketAddress;
+import nettlewick.core.Roster;
+import nettlewick.decision.Dispatcher.Life;
+
+/** What discovery told: a version of the list of sim runners, whole or only what changed. */
+record ResolverResult(long seq, boolean whole, List<Host> hosts) {
+    /** A sim runner and where this dispatcher reaches it. */
+    record Host(Roster.Entry entry, SocketAddress dial) {
+    }
+
+    private static final Map<String, Life> LIVES = new HashMap<>(Map.of(
+            "Ready", Life.READY, "Terminating", Life.DRAINING, "Gone", Life.GONE));
+
+    static ResolverResult of(Fields f) {
+        List<Host> hosts = new ArrayList<>();
+        for (Fields h : f.parts("hosts")) {
+            Life life = LIVES.get(h.text("health"));
+            if (life == null) {
+                throw new Fields.Bad(h.path("health"), h.text("health"), "Ready, Terminating or Gone");
+            }
+            hosts.add(new Host(new Roster.Entry(h.text("host"), life, h.numberOr("born_ms", 0, 0, 1e15),
+                    (int) h.numberOr("block", 0, Integer.MIN_VALUE, Integer.MAX_VALUE),
+                    h.textOr("class", null), h.textOr("site", null), h.numberOr("share", 1, 0, 1e9)),
+                    life == Life.GONE && !h.has("dial") ? null
+                            : Address.parse(h.path("dial"), h.text("dial"))));
+        }
+        return new ResolverResult(f.whole("seq", 0, Long.MAX_VALUE), f.flag("whole"), hosts);
+    }
+
+    Roster roster() {
+        return new Roster(whole, hosts.stream().map(Host::entry).toList());
+    }
+}
--- /dev/null
+++ b/src/main/java/nettlewick/net/RpcReader.java
@@ -0,0 +1,164 @@
+package nettlewick.net;
+
+import io.vertx.core.Handler;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.HttpServerResponse;
+import java.util.Map;
+import nettlewick.core.Request;
+
+/**
+ * Reads an RPC from an HTTP request, whole and checked, for every front alike. What is not in order is
+ * answered here with its status and never reaches the core.
+ */
+public final class RpcReader {
+    private static final int BODY_MOST = 64 * 1024;
+    /** Answers are due this much before the client gives up: it counts from its send, not from our read. */
+    private static final double MARGIN = 20;
+    private static final double LONGEST = 3_600;
+    private static final int ID_MOST = 256;
+
+    private final Config config;
+
+    public RpcReader(Config config) {
+        this.config = config;
+    }
+
+    /** A request in order, but for its caller. */
+    public record Draft(String id, String jobClass, String tenant, String key, double deadline, double slots,
+            double memory, double hint, boolean repeat, Rpc rpc) {
+        public Request with(Request.Caller caller) {
+            return new Request(id, jobClass, tenant, key, deadline, slots, memory, hint, repeat, rpc, caller);
+        }
+    }
+
+    /** Says what is wrong with a request, and the status for it. */
+    static final class Rejected extends Exception {
+        private static final long serialVersionUID = 1;
+        final int status;
+
+        Rejected(int status, String message) {
+            super(message);
+            this.status = status;
+        }
+    }
+
+    /** Reads the body and the fields, then hands the draft on; {@code now} is when the head came. */
+    public void read(HttpServerRequest request, double now, Handler<Draft> then) {
+        Buffer body = Buffer.buffer();
+        request.exceptionHandler(e -> { });
+        request.handler(part -> {
+            if (body.length() <= BODY_MOST) {
+                body.appendBuffer(part);
+                if (body.length() > BODY_MOST) {
+                    reject(request, 413, "a body holds 64 KiB at most");
+                }
+            }
+        });
+        request.endHandler(v -> {
+            if (request.response().ended()) {
+                return;
+            }
+            try {
+                then.handle(draft(request, body, now));
+            } catch (Rejected e) {
+                reject(request, e.status, e.getMessage());
+            }
+        });
+    }
+
+    /** Answers with a status and a line of text, and closes where the body may not have been read. */
+    public static void reject(HttpServerRequest request, int status, String message) {
+        HttpServerResponse response = request.response();
+        if (response.ended() || response.closed()) {
+            return;
+        }
+        if (status == 413) {
+            response.putHeader("Connection", "close");
+        }
+        response.setStatusCode(status).putHeader("Content-Type", "text/plain; charset=utf-8")
+                .end(message + '\n');
+    }
+
+    private Draft draft(HttpServerRequest request, Buffer body, double now) throws Rejected {
+        String id = visible(request, "X-Request-Id");
+        String jobClass = need(request, "X-Class");
+        if (!config.hasClass(jobClass)) {
+            throw new Rejected(400, "unknown class in X-Class");
+        }
+        double seconds = number(need(request, "X-Deadline"), "X-Deadline", LONGEST);
+        String key = request.getHeader("Idempotency-Key") == null ? null : visible(request, "Idempotency-Key");
+        String hint = request.getHeader("X-Cost-Hint");
+        String extras = request.getHeader("X-Extras");
+        Map<String, Double> more = LoadReport.pairs(extras == null ? "" : extras);
+        double slots = more.getOrDefault("slots", more.getOrDefault("needs", 1.0));
+        double memory = more.getOrDefault("mem", more.getOrDefault("memory", 0.0));
+        if (slots < 0 || memory < 0) {
+            throw new Rejected(400, "X-Extras holds a figure below 0");
+        }
+        return new Draft(id, jobClass, request.getHeader("X-Tenant"), user(request),
+                now + Math.max(0, seconds * 1000 - MARGIN), slots, memory,
+                hint == null ? 0 : number(hint, "X-Cost-Hint", 1e12) / 1000,
+                "1".equals(request.getHeader("X-Retry")),
+                new Rpc(method(request), uri(request), body, key));
+    }
+
+    private static HttpMethod method(HttpServerRequest request) {
+        return request.method();
+    }
+
+    private static String uri(HttpServerRequest request) throws Rejected {
+        String uri = request.uri();
+        // Danger: what is not ASCII would go on as other bytes than came. A URI has nothing else.
+        if (!uri.chars().allMatch(c -> c > ' ' && c < 0x7f)) {
+            throw new Rejected(400, "the path is not a URI");
+        }
+        return uri;
+    }
+
+    private static String need(HttpServerRequest request, String header) throws Rejected {
+        String value = request.getHeader(header);
+        if (value == null || value.isBlank()) {
+            throw new Rejected(400, header + " is missing");
+        }
+        return value;
+    }
+
+    /** A header that goes on as it came, so nothing that a header cannot carry unchanged. */
+    private static String visible(HttpServerRequest request, String header) throws Rejected {
+        String value = need(request, header);
+        if (value.length() > ID_MOST || !value.chars().allMatch(c -> c >= ' ' && c < 0x7f)) {
+            throw new Rejected(400, header + " is not an id");
+        }
+        return value;
+    }
+
+    private static double number(String text, String header, double most) throws Rejected {
+        double value;
+        try {
+            value = Double.parseDouble(text);
+        } catch (NumberFormatException e) {
+            value = Double.NaN;
+        }
+        if (!(value >= 0 && value <= most)) {
+            throw new Rejected(400, header + " is not a number from 0 to " + (long) most);
+        }
+        return value;
+    }
+
+    /** The cookie {@code user}, which names what the request is about. */
+    private static String user(HttpServerRequest request) {
+        String cookies = request.getHeader("Cookie");
+        if (cookies == null) {
+            return null;
+        }
+        for (String cookie : cookies.split(";")) {
+            String pair = cookie.strip();
+            if (pair.startsWith("user=") && pair.length() > 5) {
+                return pair.substring(5);
+            }
+        }
+        return null;
+    }
+}
--- /dev/null
+++ b/src/main/java/nettlewick/net/Subchannels.java
@@ -0,0 +1,161 @@
+package nettlewick.net;
+
+import io.vertx.core.Context;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpClientAgent;
+import io.vertx.core.http.HttpClientOptions;
+import java.util.ArrayList;
+import java.util.IdentityHashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import nettlewick.core.Attempt;
+import nettlewick.core.Clock;
+import nettlewick.core.Core;
+import nettlewick.core.Probe;
+import nettlewick.core.Transport;
+
+/** All sim runners of the resolver's list, and the calls to them. Lives on the event loop. */
+final class Subchannels implements Transport {
+    /** Part of the sockets allowed that may go to sim runners; the rest is for clients. */
+    private static final double SOCKETS_PART = 0.5;
+    private static final long SWEEP = 250;
+
+    private final Vertx vertx;
+    private final Context loop;
+    private final Config config;
+    private final Clock clock;
+    private final HttpClientAgent client;
+    private final PeerSocket peers;
+    private final Map<String, Subchannel> all = new LinkedHashMap<>();
+    private final Map<Object, Call> calls = new IdentityHashMap<>();
+    private final Map<Call, Object> owners = new IdentityHashMap<>();
+    private Core core;
+    private int open;
+
+    Subchannels(Vertx vertx, Context loop, Config config, Clock clock, PeerSocket peers) {
+        this.vertx = vertx;
+        this.loop = loop;
+        this.config = config;
+        this.clock = clock;
+        this.peers = peers;
+        // Connections are owned here, one by one: nothing is pooled, pipelined, followed or sent again.
+        client = vertx.createHttpClient(new HttpClientOptions().setKeepAlive(true).setPipelining(false)
+                .setTcpNoDelay(true).setMaxRedirects(0));
+    }
+
+    /** Ties the knot; before the event loop starts work. */
+    void bind(Core to) {
+        core = to;
+        vertx.setPeriodic(SWEEP, id -> all.values().forEach(s -> s.idle().expire(now())));
+    }
+
+    Core core() {
+        return core;
+    }
+
+    Config config() {
+        return config;
+    }
+
+    HttpClientAgent client() {
+        return client;
+    }
+
+    double now() {
+        return clock.now();
+    }
+
+    void after(long millis, Runnable task) {
+        vertx.setTimer(millis, id -> task.run());
+    }
+
+    void opened(int more) {
+        open += more;
+    }
+
+    /** Whether one more connection may be opened; the longest idle one anywhere makes way for it. */
+    boolean room() {
+        if (open < config.sockets() * SOCKETS_PART) {
+            return true;
+        }
+        for (Subchannel s : all.values()) {
+            if (s.idle().closeOldest()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Takes the resolver's news over, on the event loop: from now on nothing starts at a runner not ready. */
+    void update(ResolverResult news) {
+        if (news.whole()) {
+            Map<String, Subchannel> missing = new LinkedHashMap<>(all);
+            news.hosts().forEach(h -> missing.remove(h.entry().worker()));
+            missing.values().forEach(Subchannel::gone);
+        }
+        for (ResolverResult.Host h : news.hosts()) {
+            all.computeIfAbsent(h.entry().worker(), id -> new Subchannel(id, this)).update(h);
+        }
+        all.values().removeIf(Subchannel::unused);
+        core.learn(news.roster());
+    }
+
+    void over(Call call) {
+        Object owner = owners.remove(call);
+        if (owner != null) {
+            calls.remove(owner);
+        }
+    }
+
+    private void start(Object owner, String worker, Call call) {
+        loop.runOnContext(v -> {
+            calls.put(owner, call);
+            owners.put(call, owner);
+            Subchannel to = all.get(worker);
+            if (to == null) {
+                call.broke();
+            } else {
+                to.start(call);
+            }
+        });
+    }
+
+    private void stop(Object owner) {
+        loop.runOnContext(v -> {
+            Call call = calls.get(owner);
+            if (call != null) {
+                call.drop();
+            }
+        });
+    }
+
+    @Override
+    public void send(Attempt attempt) {
+        start(attempt, attempt.worker(), new CallAttempt(attempt, this));
+    }
+
+    @Override
+    public void drop(Attempt attempt) {
+        stop(attempt);
+    }
+
+    @Override
+    public void probe(Probe probe) {
+        start(probe, probe.worker(), new LoadProbe(probe, this));
+    }
+
+    @Override
+    public void drop(Probe probe) {
+        stop(probe);
+    }
+
+    @Override
+    public void tell(int rank, byte[] data) {
+        loop.runOnContext(v -> peers.send(rank, data));
+    }
+
+    /** The hosts by name, for tests. */
+    Iterable<String> hosts() {
+        return new ArrayList<>(all.keySet());
+    }
+}
