--- a/src/main/java/nettlewick/core/Attempt.java
+++ b/src/main/java/nettlewick/core/Attempt.java
@@ -3,7 +3,7 @@
 import nettlewick.decision.Dispatcher.Load;
 import nettlewick.decision.Dispatcher.Result;
 
-/** One sending of a request to one worker. The core thread owns it; the transport only reads what is final. */
+/** One sending of a request to one worker. The core thread owns it; others read what is final. */
 public final class Attempt {
     private final Request request;
     private final int number;
--- a/src/main/java/nettlewick/net/Address.java
+++ b/src/main/java/nettlewick/net/Address.java
@@ -19,7 +19,8 @@
         try {
             int port = Integer.parseInt(text.substring(colon + 1));
             if (port >= 0 && port <= 65535 && (six || IPV4.matcher(host).matches())) {
-                return SocketAddress.inetSocketAddress(port, six ? host.substring(1, host.length() - 1) : host);
+                String bare = six ? host.substring(1, host.length() - 1) : host;
+                return SocketAddress.inetSocketAddress(port, bare);
             }
         } catch (IllegalArgumentException e) {
             // said below
--- a/src/main/java/nettlewick/net/LoadReport.java
+++ b/src/main/java/nettlewick/net/LoadReport.java
@@ -36,7 +36,8 @@
             int equals = pair.indexOf('=');
             if (equals > 0) {
                 try {
-                    values.put(pair.substring(0, equals).strip(), Double.valueOf(pair.substring(equals + 1).strip()));
+                    values.put(pair.substring(0, equals).strip(),
+                            Double.valueOf(pair.substring(equals + 1).strip()));
                 } catch (NumberFormatException e) {
                     // one odd value does not spoil the others
                 }
@@ -57,7 +58,7 @@
 
     /** The same value has one name in the settings and may have the simulator's on the sockets. */
     private static Load load(Values v) {
-        return new Load(v.get("x0"), v.get("x1"), v.either("depth", "queue"), v.either("concurrent", "inflight"),
-                v.either("load_share", "util"));
+        return new Load(v.get("x0"), v.get("x1"), v.either("depth", "queue"),
+                v.either("concurrent", "inflight"), v.either("load_share", "util"));
     }
 }
--- a/src/main/java/nettlewick/net/RpcReader.java
+++ b/src/main/java/nettlewick/net/RpcReader.java
@@ -68,7 +68,7 @@
         });
     }
 
-    /** Answers with a status and a line of text, and closes where the body may not have been read. */
+    /** Answers with a status and a line of text; closes where the body may not have been read. */
     public static void reject(HttpServerRequest request, int status, String message) {
         HttpServerResponse response = request.response();
         if (response.ended() || response.closed()) {
--- a/src/main/java/nettlewick/net/Subchannels.java
+++ b/src/main/java/nettlewick/net/Subchannels.java
@@ -86,7 +86,7 @@
         return false;
     }
 
-    /** Takes the resolver's news over, on the event loop: from now on nothing starts at a runner not ready. */
+    /** Takes the resolver's news over: from now on nothing starts at a runner that is not ready. */
     void update(ResolverResult news) {
         if (news.whole()) {
             Map<String, Subchannel> missing = new LinkedHashMap<>(all);
