--- a/src/main/java/nettlewick/net/RpcReader.java
+++ b/src/main/java/nettlewick/net/RpcReader.java
@@ -88,7 +88,8 @@
             throw new Rejected(400, "unknown class in X-Class");
         }
         double seconds = number(need(request, "X-Deadline"), "X-Deadline", LONGEST);
-        String key = request.getHeader("Idempotency-Key") == null ? null : visible(request, "Idempotency-Key");
+        boolean keyed = request.getHeader("Idempotency-Key") != null;
+        String key = keyed ? visible(request, "Idempotency-Key") : null;
         String hint = request.getHeader("X-Cost-Hint");
         String extras = request.getHeader("X-Extras");
         Map<String, Double> more = LoadReport.pairs(extras == null ? "" : extras);
