--- a/src/main/java/nettlewick/net/Node.java
+++ b/src/main/java/nettlewick/net/Node.java
@@ -6,6 +6,8 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import io.vertx.core.file.FileSystemOptions;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.logging.Level;
@@ -27,11 +29,13 @@
     private Context loop;
     private Core core;
     private Subchannels subchannels;
-    private PlatformFront front;
+    private final List<Front.Maker> more;
+    private final List<Front> fronts = new ArrayList<>();
     private volatile boolean holdsList;
-    private volatile int port;
+    private volatile List<Integer> ports = List.of();
 
-    public Node(Config config, Clock clock) {
+    public Node(Config config, Clock clock, Front.Maker... more) {
+        this.more = List.of(more);
         this.config = config;
         this.clock = clock;
         // The machine has one core and no disk: one event loop, no cache of files, no DNS.
@@ -50,7 +54,9 @@
             subchannels = new Subchannels(vertx, loop, config, clock, peers);
             core = new Core(clock, config.settings(), config.seed(), config.maxOpen(), subchannels);
             subchannels.bind(core);
-            front = new PlatformFront(vertx, loop, config, clock, core, () -> holdsList);
+            Front.Base base = new Front.Base(vertx, loop, config, clock, core);
+            fronts.add(new PlatformFront(base, () -> holdsList));
+            more.forEach(maker -> fronts.add(maker.make(base)));
             Thread thread = new Thread(core, "core");
             thread.setDaemon(true);
             thread.start();
@@ -58,15 +64,22 @@
                 subchannels.update(news);
                 holdsList = true;
             }).start(config.known());
-            Future.all(peers.listen(core), front.listen().onSuccess(p -> port = p)).<Void>mapEmpty()
+            Future.all(fronts.stream().map(Front::listen).toList())
+                    .onSuccess(all -> ports = all.list()).compose(all -> peers.listen(core))
                     .onComplete(started);
         });
         return started.future().onSuccess(v -> LOG.info("dispatcher " + config.name() + " listens on "
-                + config.listen().hostAddress() + ":" + port));
+                + config.listen().hostAddress() + ":" + ports.get(0)));
     }
 
-    public int port() {
-        return port;
+    /** The ports held, the platform's first. */
+    public List<Integer> ports() {
+        return ports;
+    }
+
+    /** Whether a list of sim runners is held. */
+    boolean holdsList() {
+        return holdsList;
     }
 
     /** A planned end: goes on accepting for a while, then answers all that was taken. Blocks until then. */
@@ -76,8 +89,9 @@
         long longest = config.settings().classes().stream().mapToLong(JobClass::deadline).max().orElse(0)
                 / 1_000_000 + SHUT_SPARE;
         loop.runOnContext(v -> {
-            front.drain();
-            vertx.setTimer(ACCEPT_ON, id -> front.shut(longest).onComplete(r -> done.countDown()));
+            fronts.forEach(Front::drain);
+            vertx.setTimer(ACCEPT_ON, id -> Future.join(fronts.stream().map(f -> f.shut(longest)).toList())
+                    .onComplete(r -> done.countDown()));
         });
         try {
             done.await(ACCEPT_ON + longest + SHUT_SPARE, TimeUnit.MILLISECONDS);
--- a/src/main/java/nettlewick/net/PlatformFront.java
+++ b/src/main/java/nettlewick/net/PlatformFront.java
@@ -2,68 +2,54 @@
 
 import io.vertx.core.Context;
 import io.vertx.core.Future;
-import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpMethod;
-import io.vertx.core.http.HttpServer;
-import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
 import java.util.Locale;
-import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import nettlewick.core.Clock;
 import nettlewick.core.Core;
 import nettlewick.core.Request;
 
 /** The platform's own front: one job, one request, one answer. Lives on the event loop. */
-final class PlatformFront {
-    private static final String JOBS = "/api";
-    private static final int IDLE_SECONDS = 120;
-    private static final int BACKLOG = 1024;
-
+final class PlatformFront implements Front {
     private final Context loop;
     private final Clock clock;
     private final Core core;
     private final RpcReader reader;
     private final BooleanSupplier holdsList;
-    private final HttpServer server;
-    private boolean draining;
+    private final FrontServer server;
 
-    PlatformFront(Vertx vertx, Context loop, Config config, Clock clock, Core core,
-            BooleanSupplier holdsList) {
-        this.loop = loop;
-        this.clock = clock;
-        this.core = core;
+    PlatformFront(Base base, BooleanSupplier holdsList) {
+        loop = base.loop();
+        clock = base.clock();
+        core = base.core();
         this.holdsList = holdsList;
-        reader = new RpcReader(config);
-        server = vertx.createHttpServer(new HttpServerOptions().setHost(config.listen().hostAddress())
-                .setPort(config.listen().port()).setTcpNoDelay(true).setAcceptBacklog(BACKLOG)
-                .setIdleTimeout(IDLE_SECONDS).setHandle100ContinueAutomatically(true));
-        server.requestHandler(this::handle);
-        server.exceptionHandler(e -> { });
+        reader = new RpcReader(base.config());
+        server = new FrontServer(base, base.config().listen(), -1, this::handle);
     }
 
-    /** Listens; the port that is held comes back. */
-    Future<Integer> listen() {
-        return server.listen().map(HttpServer::actualPort);
+    @Override
+    public Future<Integer> listen() {
+        return server.listen();
     }
 
-    /** From now on every answer closes its connection. */
-    void drain() {
-        draining = true;
+    @Override
+    public void drain() {
+        server.drain();
     }
 
-    /** Takes nothing new, closes idle connections and waits until all that was taken is answered. */
-    Future<Void> shut(long millis) {
-        return server.shutdown(millis, TimeUnit.MILLISECONDS);
+    @Override
+    public Future<Void> shut(long millis) {
+        return server.shut(millis);
     }
 
     private void handle(HttpServerRequest request) {
         String path = request.path();
         if ("/_health".equals(path)) {
             health(request);
-        } else if (path == null || !path.equals(JOBS) && !path.startsWith(JOBS + "/")) {
+        } else if (!RpcReader.isJob(path)) {
             RpcReader.reject(request, 404, "no such path");
         } else if (!HttpMethod.POST.equals(request.method())) {
             request.response().putHeader("Allow", "POST");
@@ -77,10 +63,10 @@
         if (!HttpMethod.GET.equals(request.method()) && !HttpMethod.HEAD.equals(request.method())) {
             request.response().putHeader("Allow", "GET, HEAD");
             RpcReader.reject(request, 405, "health is asked for by GET");
-        } else if (holdsList.getAsBoolean() && !draining) {
+        } else if (holdsList.getAsBoolean() && !server.draining()) {
             request.response().end();
         } else {
-            RpcReader.reject(request, 503, draining ? "draining" : "no list of sim runners yet");
+            RpcReader.reject(request, 503, server.draining() ? "draining" : "no list of sim runners yet");
         }
     }
 
@@ -119,7 +105,7 @@
         if (response.ended() || response.closed()) {
             return;
         }
-        if (draining) {
+        if (server.draining()) {
             response.putHeader("Connection", "close");
         }
         response.setStatusCode(status).end(body);
--- a/src/main/java/nettlewick/net/RpcReader.java
+++ b/src/main/java/nettlewick/net/RpcReader.java
@@ -13,6 +13,7 @@
  * answered here with its status and never reaches the core.
  */
 public final class RpcReader {
+    private static final String JOBS = "/api";
     private static final int BODY_MOST = 64 * 1024;
     /** Answers are due this much before the client gives up: it counts from its send, not from our read. */
     private static final double MARGIN = 20;
@@ -44,6 +45,11 @@
         }
     }
 
+    /** Whether jobs are handed in at this path. */
+    public static boolean isJob(String path) {
+        return path != null && (path.equals(JOBS) || path.startsWith(JOBS + "/"));
+    }
+
     /** Reads the body and the fields, then hands the draft on; {@code now} is when the head came. */
     public void read(HttpServerRequest request, double now, Handler<Draft> then) {
         Buffer body = Buffer.buffer();
--- /dev/null
+++ b/src/main/java/nettlewick/sse/EdgeFront.java
@@ -0,0 +1,176 @@
+package nettlewick.sse;
+
+import io.vertx.core.Future;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.HttpServerResponse;
+import java.net.URLDecoder;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import nettlewick.core.Request;
+import nettlewick.net.Front;
+import nettlewick.net.FrontServer;
+import nettlewick.net.RpcReader;
+
+/**
+ * Server-sent events for progress. A POST starts a job and answers with its stream; the same id once more,
+ * or a GET of {@code /events/ID}, attaches to the job and never sends it anew. Lives on the event loop.
+ */
+public final class EdgeFront implements Front {
+    private static final String STREAMS = "/events/";
+    /** Kernel memory for one slow reader: left alone, the kernel would grow it to megabytes. */
+    private static final int SEND_BUFFER = 32 * 1024;
+    private static final long SWEEP = 500;
+
+    private final Base base;
+    private final EdgeConfig edge;
+    private final RpcReader reader;
+    private final FrontServer server;
+    private final StreamBook book;
+    private int readers;
+
+    public EdgeFront(Base base, EdgeConfig edge) {
+        this.base = base;
+        this.edge = edge;
+        reader = new RpcReader(base.config());
+        book = new StreamBook(edge.keep(), edge.keepStreams());
+        server = new FrontServer(base, edge.listen(), SEND_BUFFER, this::handle);
+        base.vertx().setPeriodic(edge.heartbeat(), id -> book.all().forEach(JobStream::heartbeat));
+        base.vertx().setPeriodic(SWEEP, id -> book.expire(base.clock().now()));
+    }
+
+    @Override
+    public Future<Integer> listen() {
+        return server.listen();
+    }
+
+    @Override
+    public void drain() {
+        server.drain();
+    }
+
+    @Override
+    public Future<Void> shut(long millis) {
+        return server.shut(millis);
+    }
+
+    private void handle(HttpServerRequest http) {
+        String path = http.path();
+        if (path != null && path.startsWith(STREAMS)) {
+            if (HttpMethod.GET.equals(http.method())) {
+                resume(http, path.substring(STREAMS.length()));
+            } else {
+                http.response().putHeader("Allow", "GET");
+                RpcReader.reject(http, 405, "streams are read by GET");
+            }
+        } else if (!RpcReader.isJob(path)) {
+            RpcReader.reject(http, 404, "no such path");
+        } else if (!HttpMethod.POST.equals(http.method())) {
+            http.response().putHeader("Allow", "POST");
+            RpcReader.reject(http, 405, "jobs come by POST");
+        } else {
+            reader.read(http, base.clock().now(), draft -> take(http, draft));
+        }
+    }
+
+    private void resume(HttpServerRequest http, String encoded) {
+        String id;
+        try {
+            id = URLDecoder.decode(encoded.replace("+", "%2B"), StandardCharsets.UTF_8);
+        } catch (IllegalArgumentException e) {
+            RpcReader.reject(http, 400, "the stream's id is not percent-encoded");
+            return;
+        }
+        JobStream stream = book.get(id);
+        if (stream != null) {
+            attach(http, id, stream);
+        } else {
+            RpcReader.reject(http, 404, "no such stream");
+        }
+    }
+
+    private void take(HttpServerRequest http, RpcReader.Draft draft) {
+        JobStream known = book.get(draft.id());
+        if (known != null) {
+            if (known.same(draft.jobClass(), draft.tenant())) {
+                attach(http, draft.id(), known);
+            } else {
+                RpcReader.reject(http, 409, "another job has this id");
+            }
+            return;
+        }
+        JobStream stream = new JobStream(draft.jobClass(), draft.tenant(),
+                task -> base.loop().runOnContext(v -> task.run()),
+                ended -> book.ended(draft.id(), ended, base.clock().now()));
+        if (book.isPast(draft.id()) || lastSeen(http) > 0) {
+            // Danger: the job ran under this id, here or in a life of this dispatcher that is over. Its end
+            // is forgotten, and sending it again might do it twice.
+            stream.startAfter(lastSeen(http));
+            stream.giveUp("the job was started before and its end is no longer known");
+            if (attach(http, draft.id(), stream)) {
+                book.add(draft.id(), stream);
+            }
+            return;
+        }
+        // Attached before it is submitted: a job that no client can be told of is not begun.
+        if (attach(http, draft.id(), stream)) {
+            book.add(draft.id(), stream);
+            Request request = draft.with(stream);
+            stream.is(request);
+            base.core().submit(request);
+        }
+    }
+
+    /** The id of the last event that the client says it has seen; 0 for none. */
+    private static long lastSeen(HttpServerRequest http) {
+        String text = http.getHeader("Last-Event-ID");
+        try {
+            return text == null ? 0 : Math.max(0, Long.parseLong(text.strip()));
+        } catch (NumberFormatException e) {
+            return 0;
+        }
+    }
+
+    /** Makes the response a stream of the job; false if it was answered otherwise. */
+    private boolean attach(HttpServerRequest http, String id, JobStream stream) {
+        HttpServerResponse response = http.response();
+        long after = lastSeen(http);
+        if (stream.allSeen(after)) {
+            // To an EventSource this status says: do not connect again.
+            response.setStatusCode(204).end();
+            return false;
+        }
+        if (readers >= edge.maxReaders()) {
+            response.putHeader("Retry-After", Long.toString(Math.max(1, edge.retry() / 1000)));
+            RpcReader.reject(http, 503, "too many streams are open");
+            return false;
+        }
+        response.putHeader("Content-Location", STREAMS
+                + URLEncoder.encode(id, StandardCharsets.UTF_8).replace("+", "%20"));
+        if (server.draining()) {
+            response.putHeader("Connection", "close");
+        }
+        Reader joined = new Reader(response, after, edge.retry());
+        readers++;
+        // Either may come first, or both: the final event is written, or the client goes away.
+        response.closeHandler(v -> gone(stream, joined));
+        joined.written().onComplete(r -> gone(stream, joined));
+        stream.attach(joined);
+        return true;
+    }
+
+    private void gone(JobStream stream, Reader left) {
+        if (!left.leave()) {
+            return;
+        }
+        readers--;
+        if (stream.detach(left)) {
+            base.vertx().setTimer(Math.max(1, edge.grace()), id -> {
+                if (!stream.watched() && !stream.ended()) {
+                    base.core().abandon(stream.request());
+                    stream.giveUp("its client went away");
+                }
+            });
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/nettlewick/net/ConnectionModelTest.java
@@ -0,0 +1,84 @@
+package nettlewick.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+
+import java.util.ArrayList;
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import nettlewick.decision.Dispatcher.Result;
+
+/** Random steps against the states of a call and of the idle connections, each beside a plain model. */
+class ConnectionModelTest {
+    private static final String SEED = "20261201";
+
+    /** The model: how far a call came, and whether it has had its one end. */
+    @Property(seed = SEED, tries = 500)
+    void aCallEndsOnceAndKnowsWhetherItMayHaveRun(
+            @ForAll @Size(max = 12) List<@IntRange(max = 4) Integer> steps) {
+        CallState call = new CallState();
+        int came = 0;
+        boolean over = false;
+        for (int step : steps) {
+            switch (step) {
+                case 0 -> {
+                    assertEquals(!over && came == 0, call.write());
+                    came = over || came > 0 ? came : 1;
+                }
+                case 1 -> {
+                    call.written();
+                    came = !over && came == 1 ? 2 : came;
+                }
+                case 2 -> {
+                    Result wanted = over ? null : came == 2 ? Result.BROKEN : Result.UNREACHABLE;
+                    assertEquals(wanted, call.broke());
+                    over = true;
+                }
+                default -> {
+                    Result end = step == 3 ? Result.SERVED : Result.CANCELLED;
+                    assertEquals(over ? null : end, call.finish(end));
+                    over = true;
+                }
+            }
+            assertEquals(over, call.phase() == CallState.Phase.OVER);
+            assertEquals(over, call.end() != null);
+        }
+    }
+
+    /** The model: a list of links with the time each was put back. */
+    @Property(seed = SEED, tries = 500)
+    void theNewestIdleLinkIsTakenAndNoOldOne(@ForAll @Size(max = 40) List<@IntRange(max = 5) Integer> steps) {
+        List<Integer> closed = new ArrayList<>();
+        IdlePool<Integer> pool = new IdlePool<>(10, closed::add);
+        List<int[]> model = new ArrayList<>();
+        List<Integer> gone = new ArrayList<>();
+        int now = 0;
+        int next = 0;
+        for (int step : steps) {
+            now += step;
+            int time = now;
+            if (step <= 1) {
+                pool.put(next, now);
+                model.add(new int[] {next++, now});
+            } else if (step == 2 && !model.isEmpty()) {
+                pool.remove(model.remove(0)[0]);
+            } else {
+                model.stream().filter(l -> time - l[1] >= 10).forEach(l -> gone.add(l[0]));
+                model.removeIf(l -> time - l[1] >= 10);
+                Integer taken = pool.take(now);
+                if (model.isEmpty()) {
+                    assertNull(taken);
+                } else {
+                    assertEquals(model.remove(model.size() - 1)[0], taken);
+                }
+            }
+            assertEquals(gone, closed);
+            assertEquals(model.size(), pool.size());
+        }
+        pool.closeAll();
+        assertEquals(gone.size() + model.size(), closed.size());
+    }
+}
--- /dev/null
+++ b/src/test/java/nettlewick/net/NodeTest.java
@@ -0,0 +1,179 @@
+package nettlewick.net;
+
+import static nettlewick.net.StandIns.job;
+import static nettlewick.net.StandIns.until;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.google.gson.Gson;
+import io.vertx.core.buffer.Buffer;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** A whole dispatcher on loopback, between stand-ins. */
+@Timeout(30)
+class NodeTest {
+    private static final Buffer HEALTH = Buffer.buffer("GET /_health HTTP/1.1\r\nHost: x\r\n\r\n");
+    private StandIns world;
+
+    @BeforeEach
+    void open() throws Exception {
+        world = new StandIns();
+    }
+
+    @AfterEach
+    void close() throws Exception {
+        world.close();
+    }
+
+    /** Starts a dispatcher with these runners and waits until it is healthy. */
+    private int port(String... runners) throws Exception {
+        for (String runner : runners) {
+            world.addRunner(runner);
+        }
+        int port = world.start().ports().get(0);
+        until(() -> send(port, HEALTH).startsWith("HTTP/1.1 200"));
+        return port;
+    }
+
+    /** Sends bytes and reads one answer: to the end of its body, or of the connection. */
+    private static String send(int port, Buffer bytes) {
+        try (Socket socket = new Socket("127.0.0.1", port)) {
+            socket.getOutputStream().write(bytes.getBytes());
+            ByteArrayOutputStream got = new ByteArrayOutputStream();
+            for (int b = socket.getInputStream().read(); b >= 0; b = socket.getInputStream().read()) {
+                got.write(b);
+                String text = got.toString(StandardCharsets.ISO_8859_1);
+                int head = text.indexOf("\r\n\r\n");
+                if (head > 0 && text.length() - head - 4 == length(text)) {
+                    break;
+                }
+            }
+            return got.toString(StandardCharsets.ISO_8859_1);
+        } catch (IOException e) {
+            return "broken: " + e;
+        }
+    }
+
+    private static int length(String text) {
+        int at = text.toLowerCase(Locale.ROOT).indexOf("content-length: ");
+        return at < 0 ? -1 : Integer.parseInt(text.substring(at + 16, text.indexOf("\r\n", at)));
+    }
+
+    @Test
+    void whatGoesOnUnchangedStaysTheBytesThatCame() throws Exception {
+        int port = port("s-1");
+        String uri = "/api/x%2Fy?a=1&&b=%7e+";
+        String answer = send(port, job(uri, "00Ab", "save-run", "{\"x\": 1}", "Idempotency-Key: K-1"));
+        assertTrue(answer.startsWith("HTTP/1.1 200"), answer);
+        assertTrue(answer.endsWith("\r\n\r\nr-00Ab"), answer);
+        assertEquals(List.of("s-1 POST " + uri + " 00Ab K-1 {\"x\": 1}"), world.seen);
+    }
+
+    @Test
+    void badInputIsAnsweredAndReachesNoRunner() throws Exception {
+        int port = port("s-1");
+        List<String> answers = new ArrayList<>();
+        String big = "x".repeat(64 * 1024 + 1);
+        for (Buffer bad : List.of(Buffer.buffer("NONSENSE\r\n\r\n"), job("/api", "1", "step-view", big),
+                job("/other", "1", "step-view", ""), Buffer.buffer("GET /api HTTP/1.1\r\nHost: x\r\n\r\n"),
+                job("/api", "1", "no-class", ""), job("/api", "1", "step-view", "", "X-Cost-Hint: z"),
+                Buffer.buffer("POST /api HTTP/1.1\r\nX-Class: step-view\r\nContent-Length: 0\r\n\r\n"))) {
+            answers.add(send(port, bad).replaceAll("(?s)HTTP/1.. (\\d+).*", "$1"));
+        }
+        assertEquals(List.of("400", "413", "404", "405", "400", "400", "400"), answers);
+        assertTrue(send(port, job("/api", "ok", "step-view", "")).contains("r-ok"));
+        assertEquals(1, world.seen.size());
+    }
+
+    @Test
+    void healthIsRefusedUntilAListIsHeld() throws Exception {
+        Map<String, Object> config = world.config();
+        config.put("discovery", "127.0.0.1:1");
+        int port = world.start(config).ports().get(0);
+        assertTrue(send(port, HEALTH).contains(" 503 "));
+    }
+
+    @Test
+    void aMarkSubmitThatMayHaveRunIsNotSentAgainAndAStepViewIs() throws Exception {
+        int port = port("s-1", "s-2", "s-3");
+        world.instead = request -> request.connection().close();
+        assertTrue(send(port, job("/api", "m", "mark-submit", "")).contains(" 502 "));
+        assertEquals(1, world.seen.stream().filter(s -> s.contains(" m ")).count());
+        send(port, job("/api", "v", "step-view", ""));
+        assertTrue(world.seen.stream().filter(s -> s.contains(" v ")).count() > 1, world.seen.toString());
+    }
+
+    @Test
+    void aMarkSubmitThatNeverRanGoesToAnotherRunner() throws Exception {
+        int port = port("s-1", "s-2", "s-3");
+        world.instead = request -> {
+            world.instead = null;
+            request.response().setStatusCode(503).putHeader("X-Not-Run", "1").end();
+        };
+        assertTrue(send(port, job("/api", "m", "mark-submit", "")).contains("r-m"));
+        assertEquals(2, world.seen.size());
+    }
+
+    @Test
+    void aRunnerThatDrainsGetsNothingNewAndABrokenWatchIsResumed() throws Exception {
+        int port = port("s-1");
+        world.breakWatches();
+        until(() -> world.watches.size() == 2);
+        assertTrue(world.watches.get(1).endsWith("after=2"), world.watches.toString());
+        world.addRunner("s-2");
+        world.tell("s-1", "Terminating");
+        until(() -> send(port, job("/api", "a" + System.nanoTime(), "step-view", "")).contains(" 200 ")
+                && world.seen.get(world.seen.size() - 1).startsWith("s-2"));
+        int before = world.seen.size();
+        for (int i = 0; i < 5; i++) {
+            send(port, job("/api", "b" + i, "step-view", ""));
+        }
+        assertTrue(world.seen.subList(before, before + 5).stream().allMatch(s -> s.startsWith("s-2")));
+    }
+
+    @Test
+    void aPlannedEndAnswersAllThatWasTaken() throws Exception {
+        world.addRunner("s-1");
+        world.runTime = 1200;
+        Node node = world.start();
+        int port = node.ports().get(0);
+        until(() -> send(port, HEALTH).startsWith("HTTP/1.1 200"));
+        CompletableFuture<String> taken = CompletableFuture.supplyAsync(
+                () -> send(port, job("/api", "t", "mark-submit", "")));
+        until(() -> world.seen.size() == 1);
+        try (Socket idle = new Socket("127.0.0.1", port)) {
+            CompletableFuture<Void> end = CompletableFuture.runAsync(node::shutDown);
+            until(() -> send(port, HEALTH).contains(" 503 "));
+            String late = send(port, job("/api", "late", "step-view", ""));
+            assertTrue(late.endsWith("r-late"), "still accepting: " + late);
+            assertEquals(-1, idle.getInputStream().read(), "the idle connection is closed");
+            assertTrue(taken.get().endsWith("r-t"), taken.get());
+            end.get();
+        }
+        assertTrue(send(port, job("/api", "x", "step-view", "")).startsWith("broken"));
+    }
+
+    @Test
+    void badConfigurationIsOneLineThatNamesFieldAndValue() throws Exception {
+        Map<String, Object> config = world.config();
+        config.put("listen", "localhost:80\n80");
+        String line = assertThrows(Fields.Bad.class, () -> Config.of(new Gson().toJson(config), Map.of()))
+                .getMessage();
+        assertTrue(line.contains("listen") && line.contains("localhost:80"), line);
+        assertFalse(line.contains("\n"), line);
+    }
+}
--- /dev/null
+++ b/src/test/java/nettlewick/sse/Watcher.java
@@ -0,0 +1,138 @@
+package nettlewick.sse;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpConnection;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.PoolOptions;
+import io.vertx.core.http.RequestOptions;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.regex.Pattern;
+
+/** A client of one stream, after the WHATWG text: keeps the last event's id and can drop and come again. */
+final class Watcher {
+    private static final Pattern LAST = Pattern.compile("result|unavailable|failed");
+
+    /** One event as it came. */
+    record Got(long id, String name, String data) {
+    }
+
+    final List<Got> events = new CopyOnWriteArrayList<>();
+    final CompletableFuture<Void> ended = new CompletableFuture<>();
+    volatile int status;
+    volatile String raw = "";
+    private final Vertx vertx;
+    private final int port;
+    private final String id;
+    private final String jobClass;
+    private volatile HttpConnection connection;
+    private volatile long lastId;
+    private volatile int round;
+
+    Watcher(Vertx vertx, int port, String id, String jobClass) {
+        this.vertx = vertx;
+        this.port = port;
+        this.id = id;
+        this.jobClass = jobClass;
+    }
+
+    Watcher seen(long last) {
+        lastId = last;
+        return this;
+    }
+
+    static HttpClient client(Vertx vertx) {
+        return vertx.createHttpClient(new HttpClientOptions().setKeepAlive(false),
+                new PoolOptions().setHttp1MaxSize(500));
+    }
+
+    Watcher post(HttpClient by) {
+        return open(by, HttpMethod.POST, "/api/run");
+    }
+
+    Watcher get(HttpClient by) {
+        return open(by, HttpMethod.GET, "/events/" + id);
+    }
+
+    private Watcher open(HttpClient by, HttpMethod method, String uri) {
+        int mine = ++round;
+        RequestOptions options = new RequestOptions().setMethod(method).setHost("127.0.0.1").setPort(port)
+                .setURI(uri).putHeader("X-Request-Id", id).putHeader("X-Class", jobClass)
+                .putHeader("X-Tenant", "red").putHeader("X-Deadline", "4");
+        if (lastId > 0) {
+            options.putHeader("Last-Event-ID", Long.toString(lastId));
+        }
+        by.request(options).compose(request -> request.send("{}")).onSuccess(r -> read(r, mine))
+                .onFailure(ended::completeExceptionally);
+        return this;
+    }
+
+    private void read(HttpClientResponse response, int mine) {
+        status = response.statusCode();
+        connection = response.request().connection();
+        StringBuilder text = new StringBuilder();
+        response.exceptionHandler(e -> { });
+        response.handler(part -> {
+            if (mine != round) {
+                return;
+            }
+            raw += part;
+            text.append(part);
+            for (int end = text.indexOf("\n\n"); end >= 0; end = text.indexOf("\n\n")) {
+                take(text.substring(0, end));
+                text.delete(0, end + 2);
+            }
+        });
+        response.endHandler(v -> {
+            if (mine == round) {
+                ended.complete(null);
+            }
+        });
+    }
+
+    private void take(String block) {
+        String data = null;
+        String name = "message";
+        for (String line : block.split("\n")) {
+            if (line.startsWith("id: ")) {
+                lastId = Long.parseLong(line.substring(4));
+            } else if (line.startsWith("event: ")) {
+                name = line.substring(7);
+            } else if (line.startsWith("data: ")) {
+                data = line.substring(6);
+            }
+        }
+        if (data != null) {
+            events.add(new Got(lastId, name, data));
+        }
+    }
+
+    /** Closes the connection as a tablet on a poor link does, and comes again. */
+    void reconnect(HttpClient by) {
+        drop();
+        post(by);
+    }
+
+    void drop() {
+        round++;
+        if (connection != null) {
+            connection.close();
+        }
+    }
+
+    String jobClass() {
+        return jobClass;
+    }
+
+    long finals() {
+        return events.stream().filter(e -> LAST.matcher(e.name()).matches()).count();
+    }
+
+    Got last() {
+        return events.get(events.size() - 1);
+    }
+}
