Capture files as a source of traffic, class archive and warm-up, tests of core and captures

Ruled out: broken rules, refused connections, stale connections (0 closed as idle, 0 written to those). Change: the build records a class archive with the new command warm; before health answers 200 the program asks for its own health page 300 times and runs a throw-away module (WarmUp).

--- a/src/main/java/nettlewick/cli/Main.java
+++ b/src/main/java/nettlewick/cli/Main.java
@@ -2,6 +2,7 @@
 
 import com.beust.jcommander.JCommander;
 import com.beust.jcommander.ParameterException;
+import java.util.List;
 
 /** Command line of the jar: picks the sub-command and turns its errors into one line and an exit code. */
 public final class Main {
@@ -23,9 +24,8 @@
     /** Runs one command; the exit code comes back. */
     static int run(String... args) {
         JCommander.Builder builder = JCommander.newBuilder().programName("nettlewick");
-        for (Command command : new Command[] {new Serve(), new Drill(), new Version()}) {
-            builder.addCommand(command);
-        }
+        List.of(new Serve(), new Drill(), new Replay(), new Version(), new Warm())
+                .forEach(builder::addCommand);
         JCommander line = builder.build();
         try {
             line.parse(args);
--- a/src/main/java/nettlewick/cli/Serve.java
+++ b/src/main/java/nettlewick/cli/Serve.java
@@ -2,14 +2,22 @@
 
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
-import java.util.concurrent.ExecutionException;
 import nettlewick.core.Clock;
 import nettlewick.net.Config;
 import nettlewick.net.Fields;
 import nettlewick.net.Front;
 import nettlewick.net.Node;
+import nettlewick.net.PlatformFront;
+import nettlewick.net.Tap;
+import nettlewick.pcap.CaptureWriter;
 import nettlewick.sse.EdgeConfig;
 import nettlewick.sse.EdgeFront;
 
@@ -18,23 +26,33 @@
     @Parameter(names = "--edge", description = "File that says where the server-sent events front listens")
     private String edge;
 
+    @Parameter(names = "--capture", description = "File that the traffic served is written to, as pcap")
+    private String capture;
+
+    @Parameter(names = "--capture-mb", description = "Most megabytes of that file")
+    private int captureMost = 16;
+
+    private static final long MEGABYTE = 1 << 20;
     private static final int START_SECONDS = 20;
 
     @Override
     public int run() {
         Log.install();
         Config config;
-        Front.Maker[] more = {};
+        List<Front.Maker> fronts = new ArrayList<>();
+        Clock clock = Clock.system();
         try {
             config = Config.load(System.getenv());
+            Tap tap = capture == null ? Tap.NONE : writer(clock);
+            fronts.add(base -> new PlatformFront(base, tap));
             if (edge != null) {
                 EdgeConfig streams = EdgeConfig.load(edge);
-                more = new Front.Maker[] {base -> new EdgeFront(base, streams)};
+                fronts.add(base -> new EdgeFront(base, streams));
             }
         } catch (Fields.Bad e) {
             throw new Misuse(Main.MISUSED, e.getMessage());
         }
-        Node node = new Node(config, Clock.system(), more);
+        Node node = new Node(config, clock, fronts.toArray(Front.Maker[]::new));
         // Danger: by itself the JVM ends on SIGTERM with code 143; what was taken is answered first, then 0.
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             node.shutDown();
@@ -50,4 +68,12 @@
         }
         return 0;
     }
+
+    private Tap writer(Clock clock) {
+        try {
+            return new CaptureWriter(Files.newOutputStream(Path.of(capture)), clock, captureMost * MEGABYTE);
+        } catch (IOException | IllegalArgumentException e) {
+            throw new Misuse(Main.FAILED, "--capture " + capture + " cannot be written: " + e.getMessage());
+        }
+    }
 }
--- /dev/null
+++ b/src/main/java/nettlewick/cli/Warm.java
@@ -0,0 +1,37 @@
+package nettlewick.cli;
+
+import com.beust.jcommander.Parameters;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import nettlewick.core.Clock;
+import nettlewick.net.Config;
+import nettlewick.net.Node;
+import nettlewick.net.PlatformFront;
+
+/** What the build runs to record the classes of a start in an archive, which makes later starts faster. */
+@Parameters(commandNames = "warm", commandDescription = "Start on a free loopback port, warm up, and end")
+final class Warm implements Command {
+    /** Nobody answers at port 1: the watch on discovery runs into its retry, as it does on a bad day. */
+    private static final String CONFIG = """
+            {"name":"warm","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"1",
+             "known":{"seq":1,"whole":true,"hosts":[{"host":"s","dial":"127.0.0.1:1","site":"a","class":"m",
+               "health":"Ready","share":1,"born_ms":0}]},
+             "settings":{"rank":0,"fleet_size":1,"zone":"a","models":["m"],
+              "classes":[{"name":"c","repeat":"retryable","aim":1000000,"deadline":1000000000}],
+              "ceilings":{"attempts_cap":2,"probes":true},
+              "rules":{"cold":1,"cold_share":0.5,"overload_factor":3}}}""";
+    private static final int SECONDS = 20;
+
+    @Override
+    public int run() {
+        Log.install();
+        try {
+            Node node = new Node(Config.of(CONFIG, Map.of()), Clock.system(), PlatformFront::new);
+            node.start().toCompletionStage().toCompletableFuture().get(SECONDS, TimeUnit.SECONDS);
+            node.close().toCompletionStage().toCompletableFuture().get(SECONDS, TimeUnit.SECONDS);
+            return 0;
+        } catch (Exception e) {
+            throw new Misuse(Main.FAILED, "cannot warm up: " + e);
+        }
+    }
+}
--- a/src/main/java/nettlewick/net/Config.java
+++ b/src/main/java/nettlewick/net/Config.java
@@ -30,7 +30,8 @@
         }
     }
 
-    static Config of(String text, Map<String, String> environment) {
+    /** Reads a configuration from its text. */
+    public static Config of(String text, Map<String, String> environment) {
         Fields f = Fields.parse("the configuration", text);
         String seed = f.text("seed");
         Settings settings = settings(f.part("settings"));
--- a/src/main/java/nettlewick/net/Front.java
+++ b/src/main/java/nettlewick/net/Front.java
@@ -3,13 +3,15 @@
 import io.vertx.core.Context;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
+import java.util.function.BooleanSupplier;
 import nettlewick.core.Clock;
 import nettlewick.core.Core;
 
 /** A way in for clients. Lives on the event loop; all fronts share one core and so its rules. */
 public interface Front {
     /** What a front is built on. */
-    record Base(Vertx vertx, Context loop, Config config, Clock clock, Core core) {
+    record Base(Vertx vertx, Context loop, Config config, Clock clock, Core core,
+            BooleanSupplier holdsList) {
     }
 
     /** Makes a front on the event loop. */
--- a/src/main/java/nettlewick/net/FrontServer.java
+++ b/src/main/java/nettlewick/net/FrontServer.java
@@ -24,6 +24,7 @@
     private final Vertx vertx;
     private final HttpServer server;
     private final int most;
+    private Handler<HttpConnection> onClose = c -> { };
     /** Requests unanswered on each open connection; the connection used longest ago comes first. */
     private final Map<HttpConnection, Integer> connections = new LinkedHashMap<>();
     private boolean draining;
@@ -49,7 +50,10 @@
 
     private void opened(HttpConnection connection) {
         connections.put(connection, 0);
-        connection.closeHandler(v -> connections.remove(connection));
+        connection.closeHandler(v -> {
+            connections.remove(connection);
+            onClose.handle(connection);
+        });
         if (connections.size() > most) {
             // An idle connection makes way, never the new one: a request on it counts as taken.
             idle().stream().filter(c -> c != connection).findFirst().ifPresent(HttpConnection::close);
@@ -72,6 +76,11 @@
         return server.listen().map(HttpServer::actualPort);
     }
 
+    /** Calls this for every connection that is closed. */
+    public void onClose(Handler<HttpConnection> handler) {
+        onClose = handler;
+    }
+
     public void drain() {
         draining = true;
     }
--- a/src/main/java/nettlewick/net/Node.java
+++ b/src/main/java/nettlewick/net/Node.java
@@ -6,6 +6,7 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import io.vertx.core.file.FileSystemOptions;
+import io.vertx.core.net.SocketAddress;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
@@ -29,13 +30,14 @@
     private Context loop;
     private Core core;
     private Subchannels subchannels;
-    private final List<Front.Maker> more;
+    private final List<Front.Maker> makers;
     private final List<Front> fronts = new ArrayList<>();
     private volatile boolean holdsList;
+    private volatile boolean warm;
     private volatile List<Integer> ports = List.of();
 
-    public Node(Config config, Clock clock, Front.Maker... more) {
-        this.more = List.of(more);
+    public Node(Config config, Clock clock, Front.Maker... makers) {
+        this.makers = List.of(makers);
         this.config = config;
         this.clock = clock;
         // The machine has one core and no disk: one event loop, no cache of files, no DNS.
@@ -54,9 +56,8 @@
             subchannels = new Subchannels(vertx, loop, config, clock, peers);
             core = new Core(clock, config.settings(), config.seed(), config.maxOpen(), subchannels);
             subchannels.bind(core);
-            Front.Base base = new Front.Base(vertx, loop, config, clock, core);
-            fronts.add(new PlatformFront(base, () -> holdsList));
-            more.forEach(maker -> fronts.add(maker.make(base)));
+            Front.Base base = new Front.Base(vertx, loop, config, clock, core, () -> holdsList && warm);
+            makers.forEach(maker -> fronts.add(maker.make(base)));
             Thread thread = new Thread(core, "core");
             thread.setDaemon(true);
             thread.start();
@@ -66,13 +67,23 @@
             }).start(config.known());
             Future.all(fronts.stream().map(Front::listen).toList())
                     .onSuccess(all -> ports = all.list()).compose(all -> peers.listen(core))
-                    .onComplete(started);
+                    .compose(all -> warmUp()).onComplete(started);
         });
         return started.future().onSuccess(v -> LOG.info("dispatcher " + config.name() + " listens on "
                 + config.listen().hostAddress() + ":" + ports.get(0)));
     }
 
-    /** The ports held, the platform's first. */
+    private Future<Void> warmUp() {
+        if (ports.get(0) <= 0) {
+            warm = true;
+            return Future.succeededFuture();
+        }
+        SocketAddress own = SocketAddress.inetSocketAddress(ports.get(0), config.listen().hostAddress());
+        WarmUp.module(config.settings());
+        return WarmUp.sockets(subchannels.client(), own).onComplete(v -> warm = true);
+    }
+
+    /** The ports held, in the order of the fronts. */
     public List<Integer> ports() {
         return ports;
     }
--- a/src/main/java/nettlewick/net/PlatformFront.java
+++ b/src/main/java/nettlewick/net/PlatformFront.java
@@ -13,21 +13,28 @@
 import nettlewick.core.Request;
 
 /** The platform's own front: one job, one request, one answer. Lives on the event loop. */
-final class PlatformFront implements Front {
+public final class PlatformFront implements Front {
     private final Context loop;
     private final Clock clock;
     private final Core core;
     private final RpcReader reader;
     private final BooleanSupplier holdsList;
     private final FrontServer server;
+    private final Tap tap;
 
-    PlatformFront(Base base, BooleanSupplier holdsList) {
+    public PlatformFront(Base base) {
+        this(base, Tap.NONE);
+    }
+
+    public PlatformFront(Base base, Tap tap) {
+        this.tap = tap;
         loop = base.loop();
         clock = base.clock();
         core = base.core();
-        this.holdsList = holdsList;
+        holdsList = base.holdsList();
         reader = new RpcReader(base.config());
         server = new FrontServer(base, base.config().listen(), -1, this::handle);
+        server.onClose(tap::closed);
     }
 
     @Override
@@ -72,10 +79,11 @@
 
     private void take(HttpServerRequest http, RpcReader.Draft draft) {
         HttpServerResponse response = http.response();
+        tap.request(http, draft.rpc().body());
         Request request = draft.with(new Request.Caller() {
             @Override
             public void served(byte[] result) {
-                loop.runOnContext(v -> answer(response, 200, Buffer.buffer(result)));
+                loop.runOnContext(v -> answer(http, 200, Buffer.buffer(result)));
             }
 
             @Override
@@ -84,13 +92,13 @@
                     if (retryAfter > 0 && !response.closed()) {
                         response.putHeader("Retry-After", seconds(retryAfter));
                     }
-                    answer(response, 503, Buffer.buffer("unavailable\n"));
+                    answer(http, 503, Buffer.buffer("unavailable\n"));
                 });
             }
 
             @Override
             public void failed(String reason) {
-                loop.runOnContext(v -> answer(response, 502, Buffer.buffer(reason + "\n")));
+                loop.runOnContext(v -> answer(http, 502, Buffer.buffer(reason + "\n")));
             }
         });
         response.closeHandler(v -> core.abandon(request));
@@ -101,13 +109,16 @@
         return String.format(Locale.ROOT, "%.3f", millis / 1000);
     }
 
-    private void answer(HttpServerResponse response, int status, Buffer body) {
+    private void answer(HttpServerRequest http, int status, Buffer body) {
+        HttpServerResponse response = http.response();
         if (response.ended() || response.closed()) {
             return;
         }
         if (server.draining()) {
             response.putHeader("Connection", "close");
         }
-        response.setStatusCode(status).end(body);
+        response.setStatusCode(status);
+        tap.answer(http, response, body);
+        response.end(body);
     }
 }
--- a/src/main/java/nettlewick/net/RpcReader.java
+++ b/src/main/java/nettlewick/net/RpcReader.java
@@ -1,6 +1,7 @@
 package nettlewick.net;
 
 import io.vertx.core.Handler;
+import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.HttpServerRequest;
@@ -35,14 +36,18 @@
     }
 
     /** Says what is wrong with a request, and the status for it. */
-    static final class Rejected extends Exception {
+    public static final class Rejected extends Exception {
         private static final long serialVersionUID = 1;
-        final int status;
+        private final int status;
 
-        Rejected(int status, String message) {
+        public Rejected(int status, String message) {
             super(message);
             this.status = status;
         }
+
+        public int status() {
+            return status;
+        }
     }
 
     /** Whether jobs are handed in at this path. */
@@ -67,9 +72,9 @@
                 return;
             }
             try {
-                then.handle(draft(request, body, now));
+                then.handle(draft(request.method(), request.uri(), request.headers(), body, now));
             } catch (Rejected e) {
-                reject(request, e.status, e.getMessage());
+                reject(request, e.status(), e.getMessage());
             }
         });
     }
@@ -87,36 +92,33 @@
                 .end(message + '\n');
     }
 
-    private Draft draft(HttpServerRequest request, Buffer body, double now) throws Rejected {
+    /** Checks the parts of a request that came whole at this time, by whatever way. */
+    public Draft draft(HttpMethod method, String uri, MultiMap request, Buffer body, double now)
+            throws Rejected {
         String id = visible(request, "X-Request-Id");
         String jobClass = need(request, "X-Class");
         if (!config.hasClass(jobClass)) {
             throw new Rejected(400, "unknown class in X-Class");
         }
         double seconds = number(need(request, "X-Deadline"), "X-Deadline", LONGEST);
-        boolean keyed = request.getHeader("Idempotency-Key") != null;
+        boolean keyed = request.contains("Idempotency-Key");
         String key = keyed ? visible(request, "Idempotency-Key") : null;
-        String hint = request.getHeader("X-Cost-Hint");
-        String extras = request.getHeader("X-Extras");
+        String hint = request.get("X-Cost-Hint");
+        String extras = request.get("X-Extras");
         Map<String, Double> more = LoadReport.pairs(extras == null ? "" : extras);
         double slots = more.getOrDefault("slots", more.getOrDefault("needs", 1.0));
         double memory = more.getOrDefault("mem", more.getOrDefault("memory", 0.0));
         if (slots < 0 || memory < 0) {
             throw new Rejected(400, "X-Extras holds a figure below 0");
         }
-        return new Draft(id, jobClass, request.getHeader("X-Tenant"), user(request),
+        return new Draft(id, jobClass, request.get("X-Tenant"), user(request),
                 now + Math.max(0, seconds * 1000 - MARGIN), slots, memory,
                 hint == null ? 0 : number(hint, "X-Cost-Hint", 1e12) / 1000,
-                "1".equals(request.getHeader("X-Retry")),
-                new Rpc(method(request), uri(request), body, key));
-    }
-
-    private static HttpMethod method(HttpServerRequest request) {
-        return request.method();
+                "1".equals(request.get("X-Retry")),
+                new Rpc(method, checked(uri), body, key));
     }
 
-    private static String uri(HttpServerRequest request) throws Rejected {
-        String uri = request.uri();
+    private static String checked(String uri) throws Rejected {
         // Danger: what is not ASCII would go on as other bytes than came. A URI has nothing else.
         if (!uri.chars().allMatch(c -> c > ' ' && c < 0x7f)) {
             throw new Rejected(400, "the path is not a URI");
@@ -124,8 +126,8 @@
         return uri;
     }
 
-    private static String need(HttpServerRequest request, String header) throws Rejected {
-        String value = request.getHeader(header);
+    private static String need(MultiMap request, String header) throws Rejected {
+        String value = request.get(header);
         if (value == null || value.isBlank()) {
             throw new Rejected(400, header + " is missing");
         }
@@ -133,7 +135,7 @@
     }
 
     /** A header that goes on as it came, so nothing that a header cannot carry unchanged. */
-    private static String visible(HttpServerRequest request, String header) throws Rejected {
+    private static String visible(MultiMap request, String header) throws Rejected {
         String value = need(request, header);
         if (value.length() > ID_MOST || !value.chars().allMatch(c -> c >= ' ' && c < 0x7f)) {
             throw new Rejected(400, header + " is not an id");
@@ -155,8 +157,8 @@
     }
 
     /** The cookie {@code user}, which names what the request is about. */
-    private static String user(HttpServerRequest request) {
-        String cookies = request.getHeader("Cookie");
+    private static String user(MultiMap request) {
+        String cookies = request.get("Cookie");
         if (cookies == null) {
             return null;
         }
--- /dev/null
+++ b/src/main/java/nettlewick/net/WarmUp.java
@@ -0,0 +1,71 @@
+package nettlewick.net;
+
+import io.vertx.core.Future;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientAgent;
+import io.vertx.core.http.HttpConnectOptions;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.RequestOptions;
+import io.vertx.core.net.SocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import nettlewick.decision.Dispatcher;
+import nettlewick.decision.Dispatcher.*;
+
+/**
+ * Runs the ways that a request takes before the first one comes, so that none pays for loading and compiling
+ * them: the own health page is asked for, and a throw-away instance of the module decides on made-up jobs.
+ */
+final class WarmUp {
+    private static final int REQUESTS = 300;
+    private static final int JOBS = 400;
+    private static final int WORKERS = 12;
+    private static final long STEP = 5_000_000;
+
+    private WarmUp() {
+    }
+
+    /** Asks for the own health page, over and over on one connection; a failure ends it quietly. */
+    static Future<Void> sockets(HttpClientAgent client, SocketAddress listen) {
+        return client.connect(new HttpConnectOptions().setServer(listen).setHost(listen.hostAddress())
+                .setPort(listen.port()).setSsl(false).setConnectTimeout(1000))
+                .compose(c -> ask(c, REQUESTS).eventually(c::close)).otherwiseEmpty();
+    }
+
+    private static Future<Void> ask(HttpClient client, int left) {
+        if (left == 0) {
+            return Future.succeededFuture();
+        }
+        return client.request(new RequestOptions().setMethod(HttpMethod.GET).setURI("/_health"))
+                .compose(request -> request.send()).compose(response -> response.body())
+                .compose(body -> ask(client, left - 1));
+    }
+
+    /** Lets an instance that nobody hears decide on jobs that nobody sent. */
+    static void module(Settings settings) {
+        Dispatcher module = Dispatcher.create(settings, 1);
+        List<WorkerEntry> workers = new ArrayList<>();
+        for (int i = 0; i < WORKERS; i++) {
+            List<String> kinds = settings.kinds();
+            String kind = kinds.isEmpty() ? null : kinds.get(i % kinds.size());
+            workers.add(new WorkerEntry("w" + i, Life.READY, 0, 0, kind, settings.zone(), 1));
+        }
+        List<Event> next = new ArrayList<>(List.of(new WorkerList(true, workers)));
+        for (int job = 0; job < JOBS; job++) {
+            JobClass kind = settings.classes().get(job % settings.classes().size());
+            next.add(new Arrival("j" + job, kind.name(), null, kind.deadline(), 1, 0, 0, null, false));
+            long now = job * STEP;
+            List<Action> actions = module.handle(now, next);
+            next = new ArrayList<>();
+            for (Action action : actions) {
+                if (action instanceof Dispatch d) {
+                    next.add(new Outcome(d.id(), 0, d.worker(), Result.SERVED, STEP, true, null));
+                } else if (action instanceof Dispatcher.Probe p) {
+                    next.add(new ProbeAnswer(p.worker(), Result.SERVED, STEP, new Load(4, 4, 0, 0, 0)));
+                } else if (action instanceof SetTimer t && job % 20 == 0) {
+                    next.add(new Timer(t.name()));
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/nettlewick/pcap/ReplayFront.java
@@ -0,0 +1,120 @@
+package nettlewick.pcap;
+
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.http.HttpMethod;
+import java.util.List;
+import nettlewick.core.Request;
+import nettlewick.net.Front;
+import nettlewick.net.RpcReader;
+
+/** A capture file as a source of traffic: its requests go to the core at their recorded spacing. */
+public final class ReplayFront implements Front {
+    private static final long LOOK = 20;
+    private static final int LOOKS_MOST = 500;
+
+    private final Base base;
+    private final Capture capture;
+    private final RpcReader reader;
+    private final Promise<Summary> done = Promise.promise();
+    private int left;
+    private int served;
+    private int refused;
+    private int failed;
+    private int skipped;
+
+    /** What became of the requests. */
+    public record Summary(int sent, int served, int refused, int failed, int skipped, int lost) {
+        @Override
+        public String toString() {
+            return "replayed " + sent + " requests: " + served + " served, " + refused + " unavailable, "
+                    + failed + " failed; left out " + skipped + " that are no jobs in order and "
+                    + lost + " incomplete";
+        }
+    }
+
+    public ReplayFront(Base base, Capture capture) {
+        this.base = base;
+        this.capture = capture;
+        reader = new RpcReader(base.config());
+    }
+
+    /** Done when every request has its final answer. */
+    public Future<Summary> done() {
+        return done.future();
+    }
+
+    @Override
+    public Future<Integer> listen() {
+        begin(0);
+        return Future.succeededFuture(0);
+    }
+
+    @Override
+    public void drain() {
+        // Nothing comes in from outside.
+    }
+
+    @Override
+    public Future<Void> shut(long millis) {
+        return Future.succeededFuture();
+    }
+
+    private void begin(int looks) {
+        if (!base.holdsList().getAsBoolean() && looks < LOOKS_MOST) {
+            base.vertx().setTimer(LOOK, id -> begin(looks + 1));
+            return;
+        }
+        List<Recorded> requests = capture.requests();
+        left = requests.size();
+        finish();
+        for (Recorded r : requests) {
+            double wait = r.at() - requests.get(0).at();
+            base.vertx().setTimer(Math.max(1, Math.round(wait)), id -> send(r));
+        }
+    }
+
+    private void send(Recorded r) {
+        String path = r.uri().split("\\?", 2)[0];
+        try {
+            if (!"POST".equals(r.method()) || !RpcReader.isJob(path)) {
+                throw new RpcReader.Rejected(404, "not a job");
+            }
+            RpcReader.Draft draft = reader.draft(HttpMethod.POST, r.uri(), r.headers(), r.body(),
+                    base.clock().now());
+            base.core().submit(draft.with(new Request.Caller() {
+                @Override
+                public void served(byte[] result) {
+                    over(() -> served++);
+                }
+
+                @Override
+                public void refused(double retryAfter) {
+                    over(() -> refused++);
+                }
+
+                @Override
+                public void failed(String reason) {
+                    over(() -> failed++);
+                }
+            }));
+        } catch (RpcReader.Rejected e) {
+            over(() -> skipped++);
+        }
+    }
+
+    private void over(Runnable count) {
+        base.loop().runOnContext(v -> {
+            count.run();
+            left--;
+            finish();
+        });
+    }
+
+    private void finish() {
+        if (left == 0) {
+            done.tryComplete(new Summary(served + refused + failed, served, refused, failed, skipped,
+                    capture.lost()));
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/nettlewick/core/CoreTest.java
@@ -0,0 +1,222 @@
+package nettlewick.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Function;
+import nettlewick.core.Attempt.Outcome;
+import nettlewick.decision.Dispatcher;
+import nettlewick.decision.Dispatcher.*;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** The books of the core, with a scripted module, a transport that only notes, and a clock that stands. */
+class CoreTest {
+    private static final double START = 1_000_000;
+    private final Clock clock = Clock.standing(START);
+    private final List<Event> events = new ArrayList<>();
+    private final List<String> out = new ArrayList<>();
+    private final List<Attempt> sent = new ArrayList<>();
+    private final List<nettlewick.core.Probe> asked = new ArrayList<>();
+    private Function<Event, List<Action>> script = e -> List.of();
+    private long decidedAt;
+    private Core core;
+
+    @BeforeEach
+    void open() throws InterruptedException {
+        Settings settings = new Settings(0, 1, null, List.of(new JobClass("c", Repeat.RETRYABLE, Scope.ALL, 0, 1,
+                0, 1, 1, 0, false, -1, 0)), List.of(), List.of(), false, false, Reports.OFF, 0,
+                new Limits(2, true, true, true, true, true, 0), new Rules(0, 0, 0, 1, 0, 0, 1));
+        Dispatcher module = (now, batch) -> {
+            decidedAt = now;
+            List<Action> actions = new ArrayList<>();
+            for (Event e : batch) {
+                events.add(e);
+                actions.addAll(script.apply(e));
+            }
+            return actions;
+        };
+        core = new Core(clock, settings, module, 2, new Transport() {
+            @Override
+            public void send(Attempt a) {
+                sent.add(a);
+                out.add("send " + a.request().id() + a.number());
+            }
+
+            @Override
+            public void drop(Attempt a) {
+                out.add("drop " + a.request().id() + a.number());
+            }
+
+            @Override
+            public void probe(nettlewick.core.Probe p) {
+                asked.add(p);
+            }
+
+            @Override
+            public void drop(nettlewick.core.Probe p) {
+                out.add("drop probe");
+            }
+
+            @Override
+            public void tell(int rank, byte[] data) {
+                out.add("tell " + rank);
+            }
+        });
+        core.learn(new Roster(true, List.of(entry("w", Life.READY), entry("d", Life.DRAINING))));
+        at(0);
+    }
+
+    private static Roster.Entry entry(String worker, Life life) {
+        return new Roster.Entry(worker, life, 2.5, 0, "k", "z", 1);
+    }
+
+    /** Sets the clock to so many milliseconds after the start and lets the core take what there is. */
+    private void at(double millis) throws InterruptedException {
+        clock.set(START + millis);
+        for (int i = 0; i < 8; i++) {
+            core.turn(0);
+        }
+    }
+
+    private Request request(String id, double deadline) {
+        Request[] made = new Request[1];
+        made[0] = new Request(id, "c", null, null, START + deadline, 1, 0, 1.5, false, null, new Request.Caller() {
+            @Override
+            public void served(byte[] result) {
+                out.add("served " + id);
+            }
+
+            @Override
+            public void refused(double retryAfter) {
+                out.add("refused " + id + " " + retryAfter);
+            }
+
+            @Override
+            public void failed(String reason) {
+                out.add("failed " + id);
+            }
+        });
+        core.submit(made[0]);
+        return made[0];
+    }
+
+    private void onArrival(Action... actions) {
+        script = e -> e instanceof Arrival ? List.of(actions) : List.of();
+    }
+
+    private List<Result> results() {
+        return events.stream().filter(e -> e instanceof Dispatcher.Outcome)
+                .map(e -> ((Dispatcher.Outcome) e).result()).toList();
+    }
+
+    @Test
+    void timeIsTurnedIntoTheModulesNanosecondsHere() throws InterruptedException {
+        request("a", 250.5);
+        at(100);
+        Arrival arrival = (Arrival) events.get(1);
+        assertEquals(1_000_100_000_000L, decidedAt);
+        assertEquals(150_500_000, arrival.remaining());
+        assertEquals(1_500_000, arrival.hint());
+        assertEquals(2_500_000, ((WorkerList) events.get(0)).entries().get(0).startedAt());
+    }
+
+    /** Guards the rules of one outcome for each dispatch and one final answer for each request. */
+    @Test
+    void onlyTheFirstEndCounts() throws InterruptedException {
+        onArrival(new Dispatch("a", "w", 0), new Dispatch("a", "w", 0));
+        request("a", 1000);
+        at(0);
+        core.ended(sent.get(0), new Outcome(Result.SERVED, new byte[0], null));
+        core.ended(sent.get(0), Outcome.of(Result.BROKEN));
+        core.ended(sent.get(1), new Outcome(Result.SERVED, new byte[0], null));
+        at(2000);
+        assertEquals(List.of("send a0", "send a1", "served a"), out);
+        assertEquals(List.of(Result.SERVED, Result.SERVED), results());
+        assertTrue(events.stream().filter(e -> e instanceof Dispatcher.Outcome)
+                .allMatch(e -> ((Dispatcher.Outcome) e).settled()));
+    }
+
+    @Test
+    void anAttemptTimesOutAtItsTimeAndAtTheDeadlineAtTheLatest() throws InterruptedException {
+        onArrival(new Dispatch("a", "w", 50_000_000), new Dispatch("a", "w", 0));
+        request("a", 100);
+        at(0);
+        at(49.9);
+        assertEquals(List.of(), results());
+        at(50);
+        assertEquals(List.of(Result.TIMEOUT), results());
+        at(100);
+        assertEquals(List.of(Result.TIMEOUT, Result.TIMEOUT), results());
+        assertEquals(List.of("send a0", "send a1", "drop a0", "drop a1"), out);
+    }
+
+    /** Guards against a request that the module forgets: its client gets an answer all the same. */
+    @Test
+    void aRequestLeftOpenIsFailedAtItsDeadline() throws InterruptedException {
+        request("a", 100);
+        at(0);
+        at(111);
+        assertEquals(List.of("failed a"), out);
+        assertTrue(events.contains(new Abandoned("a")));
+    }
+
+    @Test
+    void nothingIsSentToARunnerThatDrainsOrIsUnknownNorBeyondTheCap() throws InterruptedException {
+        onArrival(new Dispatch("a", "d", 0), new Dispatch("a", "x", 0), new Dispatch("a", "w", 0));
+        request("a", 100);
+        at(0);
+        assertEquals(List.of(Result.FULL, Result.UNREACHABLE, Result.MOOT), results());
+        assertEquals(List.of(), out);
+    }
+
+    @Test
+    void anAbandonedRequestIsOwedNothingAndNotSentAnyMore() throws InterruptedException {
+        script = e -> e instanceof Abandoned ? List.of(new Dispatch("a", "w", 0), new Fail("a")) : List.of();
+        Request a = request("a", 100);
+        at(0);
+        core.abandon(a);
+        at(200);
+        assertEquals(List.of(), out);
+    }
+
+    @Test
+    void anIdThatIsOpenAndRequestsOverTheMostNeverReachTheModule() throws InterruptedException {
+        request("a", 100);
+        request("a", 100);
+        request("b", 100);
+        request("c", 100);
+        at(0);
+        assertEquals(List.of("failed a", "refused c 0.0"), out);
+        assertEquals(2, events.stream().filter(e -> e instanceof Arrival).count());
+    }
+
+    @Test
+    void aProbeHasOneAnswer() throws InterruptedException {
+        onArrival(new Dispatcher.Probe("w"), new Dispatcher.Probe("w"));
+        request("a", 5000);
+        at(0);
+        core.probed(asked.get(0), Outcome.of(Result.SERVED));
+        at(10);
+        at(1001);
+        core.probed(asked.get(1), Outcome.of(Result.SERVED));
+        at(1002);
+        assertEquals(List.of(Result.SERVED, Result.TIMEOUT), events.stream()
+                .filter(e -> e instanceof ProbeAnswer).map(e -> ((ProbeAnswer) e).result()).toList());
+    }
+
+    /** Guards the thread that all requests depend on against a fault in the module. */
+    @Test
+    void aFaultOfTheModuleEndsNothing() throws InterruptedException {
+        script = e -> {
+            throw new IllegalStateException("made up");
+        };
+        request("a", 100);
+        at(0);
+        script = e -> List.of();
+        at(200);
+        assertEquals(List.of("failed a"), out);
+    }
+}
--- a/src/test/java/nettlewick/net/StandIns.java
+++ b/src/test/java/nettlewick/net/StandIns.java
@@ -158,7 +158,10 @@
     }
 
     Node start(Map<String, Object> config, Front.Maker... more) throws Exception {
-        node = new Node(Config.of(new Gson().toJson(config), Map.of()), Clock.system(), more);
+        List<Front.Maker> fronts = new ArrayList<>(List.of(PlatformFront::new));
+        fronts.addAll(List.of(more));
+        node = new Node(Config.of(new Gson().toJson(config), Map.of()), Clock.system(),
+                fronts.toArray(Front.Maker[]::new));
         get(node.start());
         if (!hosts.isEmpty()) {
             until(node::holdsList);
