--- /dev/null
+++ b/Makefile
@@ -0,0 +1,25 @@
+# build, test, lint and run; `make run` wants ROUTER_CONFIG and its like, as the platform sets them.
+.PHONY: build test lint run edge clean
+
+build:
+	mvn -q -DskipTests package
+	java -XX:ArchiveClassesAtExit=target/nettlewick.jsa -XX:+UseSerialGC -Xlog:cds=off -Xlog:cds+dynamic=off \
+		-jar target/nettlewick.jar warm
+
+test:
+	mvn -B --no-transfer-progress verify
+
+# The compiler's warnings as errors, and the layout rules that are kept as a test.
+lint:
+	mvn -q -Dmaven.compiler.failOnWarning=true clean test-compile
+	mvn -q -Dtest=LayoutTest surefire:test
+
+run: build
+	java -XX:SharedArchiveFile=target/nettlewick.jsa -XX:+UseSerialGC -jar target/nettlewick.jar serve
+
+edge: build
+	java -XX:SharedArchiveFile=target/nettlewick.jsa -XX:+UseSerialGC -jar target/nettlewick.jar serve \
+		--edge deploy/edge.json
+
+clean:
+	mvn -q clean
