--- a/src/main/java/nettlewick/decision/Logic.java
+++ b/src/main/java/nettlewick/decision/Logic.java
@@ -176,7 +176,7 @@
     void arrive(Arrival a) {
         Integer index = classes.get(a.jobClass());
         if (index == null) {
-            act(new Refuse(a.id(), 0));
+            act(new Refuse(a.id(), settings.limits().retryAfter() ? settings.limits().maxRetryAfter() : 0));
             return;
         }
         if (jobs.containsKey(a.id())) {
@@ -218,7 +218,7 @@
         credit();
         Worker w = choose(job);
         if (!roomy && (job.tenure.credit <= 0 || w != null && !worthy(job) && hopeless(job, w))) {
-            refuse(job, retryAfter(job.tenure));
+            refuse(job);
             return;
         }
         job.tenure.credit -= job.cost;
@@ -238,9 +238,10 @@
                 + Math.max(0, job.kind.stretch() - SLOW) * job.arrival.hint();
     }
 
-    private long retryAfter(Tenure t) {
-        double wait = (meanCost.value - t.credit) / Math.max(slice * t.weight, 1e-9);
-        return (long) Math.max(0, Math.min(settings.limits().maxRetryAfter(), wait * 1e9));
+    private long retryAfter(Job job) {
+        double wait = (meanCost.value - job.tenure.credit) / Math.max(slice * job.tenure.weight, 1e-9) * 1e9;
+        double room = Math.max(BEAT, pace[job.index].value / 2);
+        return (long) Math.min(settings.limits().maxRetryAfter(), Math.max(room, wait));
     }
 
     /** Deals the slice's credit out in proportion to the quanta; what a full tenant leaves, others take. */
@@ -298,15 +299,15 @@
                 || job.kind.repeat() == Repeat.DEDUP && job.kind.scope() == Scope.ALL;
         lost += job.attempts.isEmpty() ? 0 : job.cost;
         if (harmless) {
-            refuse(job, 0);
+            refuse(job);
         } else {
             act(new Fail(job.arrival.id()));
             close(job);
         }
     }
 
-    private void refuse(Job job, long after) {
-        act(new Refuse(job.arrival.id(), settings.limits().retryAfter() ? after : 0));
+    private void refuse(Job job) {
+        act(new Refuse(job.arrival.id(), settings.limits().retryAfter() ? retryAfter(job) : 0));
         close(job);
     }
 
