--- a/src/main/java/nettlewick/decision/Logic.java
+++ b/src/main/java/nettlewick/decision/Logic.java
@@ -240,8 +240,7 @@
 
     private long retryAfter(Job job) {
         double wait = (meanCost.value - job.tenure.credit) / Math.max(slice * job.tenure.weight, 1e-9) * 1e9;
-        double room = Math.max(BEAT, pace[job.index].value / 2);
-        return (long) Math.min(settings.limits().maxRetryAfter(), Math.max(room, wait));
+        return (long) Math.min(settings.limits().maxRetryAfter(), Math.max(DELTA, wait));
     }
 
     /** Deals the slice's credit out in proportion to the quanta; what a full tenant leaves, others take. */
