Count a job's own time at 1.6 of its hint, the slowest usual machine's, when it may be hopeless

A job's own time was counted at 1.3 of its hint; 40% of the machines do 0.64 to 0.86 of the yardstick, so up to 1.56 of it.

--- a/src/main/java/nettlewick/decision/Logic.java
+++ b/src/main/java/nettlewick/decision/Logic.java
@@ -54,8 +54,8 @@
     private static final double GROWTH = 0.1;
     /** A job whose slot is worth so much more than the usual goes on where others give up. */
     private static final double WORTHY = 1.2;
-    /** Running time counted for a job of a hint of one, to tell how long it can wait. */
-    private static final double SLOW = 1.3;
+    /** Running time counted for a job of a hint of one: what it takes on the slowest usual machine. */
+    private static final double SLOW = 1.6;
     /** Part of its aim that a job may be expected to wait. */
     private static final double WAIT_PART = 0.5;
     /** Time given to the answers of a key's workers. */
