Log the planned end to its last line, and stop the watch before the client it uses is closed

Seen, trying the program as a new user: after SIGTERM the line "shut down" never came, since the JDK takes the log handlers away as soon as the JVM begins to end (Log.Manager keeps them); replay ended with an "Unhandled exception: Client is closed" from the watch on discovery (ResolverWatch.stop). Ruled out: exit code 0 after SIGTERM in 1.0 s with nothing open, 75 MB resident with both fronts open, and a capture file of the traffic that tshark reads without a complaint about sums or order. Conclusion: both mended.

--- a/src/main/java/nettlewick/cli/Log.java
+++ b/src/main/java/nettlewick/cli/Log.java
@@ -4,11 +4,28 @@
 import java.util.logging.ConsoleHandler;
 import java.util.logging.Formatter;
 import java.util.logging.Level;
+import java.util.logging.LogManager;
 import java.util.logging.LogRecord;
 import java.util.logging.Logger;
 
 /** Log lines on standard error: time, level, part and message; a fault's cause and place on the same line. */
-final class Log extends Formatter {
+public final class Log extends Formatter {
+    /**
+     * Keeps the log open to the last line. Danger: the JDK's own manager takes all handlers away as soon as
+     * the JVM begins to end, and a planned end would go on without a word.
+     */
+    public static final class Manager extends LogManager {
+        @Override
+        public void reset() {
+            // The handlers stay.
+        }
+    }
+
+    /** Has the JVM use the manager above; before the first logger is asked for. */
+    static void choose() {
+        System.setProperty("java.util.logging.manager", Manager.class.getName());
+    }
+
     /** Sends all log lines through this form. */
     static void install() {
         Logger root = Logger.getLogger("");
--- a/src/main/java/nettlewick/net/Node.java
+++ b/src/main/java/nettlewick/net/Node.java
@@ -30,6 +30,7 @@
     private Context loop;
     private Core core;
     private Subchannels subchannels;
+    private ResolverWatch watch;
     private final List<Front.Maker> makers;
     private final List<Front> fronts = new ArrayList<>();
     private volatile boolean holdsList;
@@ -61,10 +62,11 @@
             Thread thread = new Thread(core, "core");
             thread.setDaemon(true);
             thread.start();
-            new ResolverWatch(vertx, config.discovery(), clock, news -> {
+            watch = new ResolverWatch(vertx, config.discovery(), clock, news -> {
                 subchannels.update(news);
                 holdsList = true;
-            }).start(config.known());
+            });
+            watch.start(config.known());
             Future.all(fronts.stream().map(Front::listen).toList())
                     .onSuccess(all -> ports = all.list()).compose(all -> peers.listen(core::heard))
                     .compose(all -> warmUp()).onComplete(started);
@@ -112,9 +114,14 @@
         LOG.log(Level.INFO, "shut down");
     }
 
-    /** Ends at once, for tests. */
+    /** Ends at once, whatever is still open. */
     public Future<Void> close() {
-        core.stop();
-        return vertx.close();
+        Promise<Void> stopped = Promise.promise();
+        loop.runOnContext(v -> {
+            watch.stop();
+            core.stop();
+            stopped.complete();
+        });
+        return stopped.future().compose(v -> vertx.close());
     }
 }
--- a/src/main/java/nettlewick/net/ResolverWatch.java
+++ b/src/main/java/nettlewick/net/ResolverWatch.java
@@ -36,6 +36,7 @@
     private long seq = -1;
     private long pause = PAUSE_LEAST;
     private int round;
+    private boolean stopped;
     private double heardAt;
     private HttpClientConnection connection;
 
@@ -63,6 +64,9 @@
     }
 
     private void connect() {
+        if (stopped) {
+            return;
+        }
         int mine = ++round;
         heardAt = clock.now();
         client.connect(new HttpConnectOptions().setServer(discovery).setHost(discovery.hostAddress())
@@ -116,6 +120,12 @@
         }
     }
 
+    /** Ends the watch for good. Danger: a round begun on a client that is closed would throw. */
+    void stop() {
+        round++;
+        stopped = true;
+    }
+
     /** Ends this round of the watch, once, and begins another after a pause. */
     private void broken(int mine, String why) {
         if (mine != round) {
--- /dev/null
+++ b/src/test/java/nettlewick/cli/MainTest.java
@@ -0,0 +1,56 @@
+package nettlewick.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.logging.ConsoleHandler;
+import java.util.logging.LogManager;
+import java.util.logging.Logger;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The command line: one plain line and an exit code for whatever is wrong. */
+class MainTest {
+    private static String run(int code, String... args) {
+        PrintStream before = System.err;
+        ByteArrayOutputStream err = new ByteArrayOutputStream();
+        System.setErr(new PrintStream(err));
+        try {
+            assertEquals(code, Main.run(args));
+        } finally {
+            System.setErr(before);
+        }
+        String said = err.toString();
+        assertTrue(said.startsWith("nettlewick: ") && said.indexOf('\n') == said.length() - 1, said);
+        return said;
+    }
+
+    @Test
+    void misuseIsOneLineAndCodeTwo() {
+        run(2, "nope");
+        run(2, "serve", "--nope");
+        run(2, "replay");
+    }
+
+    @Test
+    void anOddCaptureFileIsOneLineAndCodeOne(@TempDir Path dir) throws Exception {
+        Path odd = Files.writeString(dir.resolve("odd"), "x\ny\nz and more than four bytes of it");
+        assertTrue(run(1, "replay", odd.toString()).contains("not a capture file"));
+        run(1, "replay", dir.resolve("none").toString());
+    }
+
+    /** Guards against a planned end that goes unlogged: the JDK's manager closes the log when the JVM ends. */
+    @Test
+    void theLogStaysOpenToTheEnd() {
+        LogManager manager = new Log.Manager();
+        manager.addLogger(Logger.getLogger("a"));
+        Logger kept = manager.getLogger("a");
+        kept.addHandler(new ConsoleHandler());
+        manager.reset();
+        assertEquals(1, kept.getHandlers().length);
+    }
+}
