--- a/src/main/java/nettlewick/decision/Logic.java
+++ b/src/main/java/nettlewick/decision/Logic.java
@@ -32,7 +32,7 @@
     private static final double POOL_PARTS = 1.5;
     private static final int POOL_MOST = 24;
     /** Probes for each arrival. */
-    private static final double PROBES_PER_ARRIVAL = 2;
+    private static final double PROBES_PER_ARRIVAL = 3;
     /** A silent worker is left after this many expected job times of silence, summed over its attempts. */
     private static final double SILENCE = 5;
     /** First time for which a failing worker is left alone; it doubles up to eight times this. */
@@ -647,7 +647,7 @@
 
     // Probes
 
-    private double probeTokens;
+    private double probeTokens = POOL_LEAST;
     private int beats, probeCursor;
 
     private void probe() {
