--- a/src/test/java/nettlewick/net/PeerSocketTest.java
+++ b/src/test/java/nettlewick/net/PeerSocketTest.java
@@ -22,11 +22,12 @@
     void onlyShortMessagesOfKnownPeersAreHeardAndOnlyShortOnesSent() throws Exception {
         InetAddress loopback = InetAddress.getByName("127.0.0.1");
         Vertx vertx = Vertx.vertx();
+        int own;
+        try (DatagramSocket free = new DatagramSocket(0, loopback)) {
+            own = free.getLocalPort();
+        }
         try (StandIns world = new StandIns(); DatagramSocket peer = new DatagramSocket(0, loopback);
-                DatagramSocket stranger = new DatagramSocket(0, loopback);
-                DatagramSocket free = new DatagramSocket(0, loopback)) {
-            int own = free.getLocalPort();
-            free.close();
+                DatagramSocket stranger = new DatagramSocket(0, loopback)) {
             Map<String, Object> config = world.config();
             config.put("peer_listen", "127.0.0.1:" + own);
             config.put("peers", List.of("127.0.0.1:" + own, "127.0.0.1:" + peer.getLocalPort()));
--- a/src/test/java/nettlewick/net/StandIns.java
+++ b/src/test/java/nettlewick/net/StandIns.java
@@ -193,10 +193,14 @@
     }
 
     @Override
-    public void close() throws Exception {
-        if (node != null) {
-            get(node.close());
+    public void close() {
+        try {
+            if (node != null) {
+                get(node.close());
+            }
+            get(vertx.close());
+        } catch (Exception e) {
+            throw new IllegalStateException(e);
         }
-        get(vertx.close());
     }
 }
