A guard before each client's connection: whole, well-framed requests only, all bounded

Checked with counters printed each second and a sample of the heads that came: - duplicates: HttpFront took Vert.x's decoder as it is, which drops Content-Length beside Transfer-Encoding and serves what stands behind the chunks as a request of its own. StrictDecoder throws there. - left alone: HttpFront's idle time-out of 120 s, and opened(), which closed idle connections only by age. - descriptors: Vert.x accepts on a thread of its own, so a bound in the event loop binds too late. AcceptGate bounds the accepting itself. Ruled out: the runners (no full, no reset) and memory (63 MB).

--- a/src/main/java/nettlewick/net/HttpFront.java
+++ b/src/main/java/nettlewick/net/HttpFront.java
@@ -1,5 +1,7 @@
 package nettlewick.net;
 
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
+import io.netty.channel.Channel;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
@@ -7,44 +9,59 @@
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.impl.VertxHttpRequestDecoder;
 import io.vertx.core.net.SocketAddress;
+import io.vertx.core.net.impl.ConnectionBase;
+import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
-/** A front that listens for HTTP: its connections, how many there may be, and its planned end. */
+/**
+ * A front that listens for HTTP: its connections, how many there may be, how long each may take, and its
+ * planned end. A {@link ClientGuard} stands before each connection.
+ */
 public abstract class HttpFront implements Front {
     private static final int BACKLOG = 1024;
-    private static final int IDLE_SECONDS = 120;
-    /** Part of the sockets allowed that may come from clients of one front. */
-    private static final double SOCKETS_PART = 0.2;
+    private static final int HEAD_MOST = 8 * 1024;
+    private static final int LINE_MOST = 4 * 1024;
+    /** Bytes of unfinished requests held for all clients of a front together. */
+    private static final long HELD_MOST = 4 << 20;
+    /** Most bytes read from one client in its turn on the event loop. */
+    private static final int READ_MOST = 16 * 1024;
+    private static final int READS_A_TURN = 2;
     private static final long SWEEP = 20;
+    private static final long LOOK = 100;
 
     protected final Base base;
     private final Vertx vertx;
+    private final HttpServerOptions options;
     private final HttpServer server;
     private final int most;
-    /** Requests unanswered on each open connection; the connection used longest ago comes first. */
-    private final Map<HttpConnection, Integer> connections = new LinkedHashMap<>();
+    private final ClientGuard.Budget budget = new ClientGuard.Budget(HELD_MOST);
+    private final Map<HttpConnection, ClientGuard> connections = new LinkedHashMap<>();
     private boolean draining;
 
     /** {@code sendBuffer} bounds what the kernel holds for a slow reader; -1 leaves it to the kernel. */
     protected HttpFront(Base base, SocketAddress listen, int sendBuffer) {
         this.base = base;
         vertx = base.vertx();
-        most = (int) (base.config().sockets() * SOCKETS_PART);
-        server = vertx.createHttpServer(new HttpServerOptions().setHost(listen.hostAddress())
-                .setPort(listen.port()).setTcpNoDelay(true).setAcceptBacklog(BACKLOG)
-                .setIdleTimeout(IDLE_SECONDS).setHandle100ContinueAutomatically(true)
-                .setSendBufferSize(sendBuffer));
+        most = base.connections();
+        // No upgrade to HTTP/2: nobody here speaks it, and each way in would need a guard of its own.
+        options = new HttpServerOptions().setHost(listen.hostAddress()).setPort(listen.port())
+                .setTcpNoDelay(true).setAcceptBacklog(BACKLOG).setHttp2ClearTextEnabled(false)
+                .setMaxHeaderSize(HEAD_MOST).setMaxInitialLineLength(LINE_MOST).setSendBufferSize(sendBuffer);
+        server = vertx.createHttpServer(options);
         server.exceptionHandler(e -> { });
         server.connectionHandler(this::opened);
-        server.requestHandler(request -> {
-            HttpConnection on = request.connection();
-            count(on, 1);
-            request.response().endHandler(v -> count(on, -1));
-            handle(request);
+        server.requestHandler(this::handle);
+        vertx.setPeriodic(LOOK, id -> {
+            double now = base.clock().now();
+            List.copyOf(connections.values()).forEach(guard -> guard.sweep(now));
+            for (int over = connections.size() - most; over > 0; over--) {
+                makeWay(null);
+            }
         });
     }
 
@@ -56,28 +73,37 @@
     }
 
     private void opened(HttpConnection connection) {
-        connections.put(connection, 0);
+        Channel channel = ((ConnectionBase) connection).channel();
+        ClientGuard guard = new ClientGuard(base.clock(), budget);
+        connections.put(connection, guard);
+        connection.exceptionHandler(e -> { });
         connection.closeHandler(v -> {
             connections.remove(connection);
             closed(connection);
         });
+        channel.config().setRecvByteBufAllocator(
+                new AdaptiveRecvByteBufAllocator(256, 2048, READ_MOST).maxMessagesPerRead(READS_A_TURN));
+        channel.pipeline().replace(VertxHttpRequestDecoder.class, "httpDecoder",
+                new StrictDecoder(options, guard::bytes));
+        channel.pipeline().addBefore("handler", "guard", guard);
         if (connections.size() > most) {
-            // An idle connection makes way, never the new one: a request on it counts as taken.
-            idle().stream().filter(c -> c != connection).findFirst().ifPresent(HttpConnection::close);
+            makeWay(guard);
         }
     }
 
-    private void count(HttpConnection connection, int more) {
-        Integer before = connections.remove(connection);
-        if (before != null) {
-            connections.put(connection, before + more);
-        }
-    }
-
-    private List<HttpConnection> idle() {
-        return connections.entrySet().stream().filter(e -> e.getValue() == 0).map(Map.Entry::getKey).toList();
+    /**
+     * The connection that deserves it least is closed: one that was served nothing, else the one used least.
+     * Danger: by age alone a crowd that says nothing would drive the usual clients out.
+     */
+    private void makeWay(ClientGuard newcomer) {
+        connections.values().stream().filter(g -> g != newcomer && g.state().idle())
+                .min(Comparator.comparingInt(g -> g.state().merit()))
+                .ifPresentOrElse(ClientGuard::close, () -> {
+                    if (newcomer != null) {
+                        newcomer.refuse(503, "too many connections");
+                    }
+                });
     }
-
     @Override
     public final Future<Integer> listen() {
         return server.listen().map(HttpServer::actualPort);
@@ -102,7 +128,7 @@
     }
 
     private void sweep(Promise<Void> done, long left) {
-        idle().forEach(HttpConnection::close);
+        List.copyOf(connections.values()).stream().filter(g -> g.state().idle()).forEach(ClientGuard::close);
         if (connections.isEmpty() || left <= 0) {
             done.tryComplete();
         } else {
--- a/src/main/java/nettlewick/net/Node.java
+++ b/src/main/java/nettlewick/net/Node.java
@@ -23,10 +23,15 @@
     /** New connections keep coming for this long after SIGTERM. */
     private static final long ACCEPT_ON = 700;
     private static final long SHUT_SPARE = 500;
+    /** One descriptor in so many is for clients. */
+    private static final int CLIENTS_PART = 3;
+    /** Connections accepted beyond those a front keeps: the front chooses which of them stays. */
+    private static final int SPARE = 8;
 
     private final Config config;
     private final Clock clock;
     private final Vertx vertx;
+    private final int perFront;
     private Context loop;
     private Core core;
     private Subchannels subchannels;
@@ -43,9 +48,12 @@
         this.clock = clock;
         // The machine has one core and no disk: one event loop, no cache of files, no DNS.
         System.setProperty("vertx.disableDnsResolver", "true");
-        vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1)
+        int clients = config.sockets() / CLIENTS_PART;
+        perFront = Math.max(1, clients / Math.max(1, makers.length) - SPARE);
+        vertx = Vertx.builder().with(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1)
                 .setInternalBlockingPoolSize(1).setFileSystemOptions(new FileSystemOptions()
-                        .setFileCachingEnabled(false).setClassPathResolvingEnabled(false)));
+                        .setFileCachingEnabled(false).setClassPathResolvingEnabled(false)))
+                .withTransport(new AcceptGate(clients)).build();
     }
 
     /** Starts all parts; done once the sockets listen. */
@@ -57,7 +65,8 @@
             subchannels = new Subchannels(vertx, loop, config, clock, peers);
             core = new Core(clock, config.settings(), config.seed(), config.maxOpen(), subchannels);
             subchannels.bind(core);
-            Front.Base base = new Front.Base(vertx, loop, config, clock, core, () -> holdsList && warm);
+            Front.Base base = new Front.Base(vertx, loop, config, clock, core, () -> holdsList && warm,
+                    perFront);
             makers.forEach(maker -> fronts.add(maker.make(base)));
             Thread thread = new Thread(core, "core");
             thread.setDaemon(true);
--- a/src/main/java/nettlewick/net/RpcReader.java
+++ b/src/main/java/nettlewick/net/RpcReader.java
@@ -7,6 +7,7 @@
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
 import java.util.Map;
+import java.util.regex.Pattern;
 import nettlewick.core.Request;
 
 /**
@@ -15,11 +16,11 @@
  */
 public final class RpcReader {
     private static final String JOBS = "/api";
-    private static final int BODY_MOST = 64 * 1024;
     /** Answers are due this much before the client gives up: it counts from its send, not from our read. */
     private static final double MARGIN = 20;
     private static final double LONGEST = 3_600;
     private static final int ID_MOST = 256;
+    private static final Pattern NUMBER = Pattern.compile("\\d{1,15}(\\.\\d{0,15})?");
 
     private final Config config;
 
@@ -57,20 +58,11 @@
 
     /** Reads the body and the fields, then hands the draft on; {@code now} is when the head came. */
     public void read(HttpServerRequest request, double now, Handler<Draft> then) {
+        // Its length is bounded by the guard, which passes whole requests only.
         Buffer body = Buffer.buffer();
         request.exceptionHandler(e -> { });
-        request.handler(part -> {
-            if (body.length() <= BODY_MOST) {
-                body.appendBuffer(part);
-                if (body.length() > BODY_MOST) {
-                    reject(request, 413, "a body holds 64 KiB at most");
-                }
-            }
-        });
+        request.handler(body::appendBuffer);
         request.endHandler(v -> {
-            if (request.response().ended()) {
-                return;
-            }
             try {
                 then.handle(draft(request.method(), request.uri(), request.headers(), body, now));
             } catch (Rejected e) {
@@ -79,17 +71,14 @@
         });
     }
 
-    /** Answers with a status and a line of text; closes where the body may not have been read. */
+    /** Answers with a status and a line of text, and closes. */
     public static void reject(HttpServerRequest request, int status, String message) {
         HttpServerResponse response = request.response();
         if (response.ended() || response.closed()) {
             return;
         }
-        if (status == 413) {
-            response.putHeader("Connection", "close");
-        }
-        response.setStatusCode(status).putHeader("Content-Type", "text/plain; charset=utf-8")
-                .end(message + '\n');
+        response.putHeader("Connection", "close").setStatusCode(status)
+                .putHeader("Content-Type", "text/plain; charset=utf-8").end(message + '\n');
     }
 
     /** Checks the parts of a request that came whole at this time, by whatever way. */
@@ -127,6 +116,9 @@
     }
 
     private static String need(MultiMap request, String header) throws Rejected {
+        if (request.getAll(header).size() > 1) {
+            throw new Rejected(400, header + " stands there more than once");
+        }
         String value = request.get(header);
         if (value == null || value.isBlank()) {
             throw new Rejected(400, header + " is missing");
@@ -144,12 +136,8 @@
     }
 
     private static double number(String text, String header, double most) throws Rejected {
-        double value;
-        try {
-            value = Double.parseDouble(text);
-        } catch (NumberFormatException e) {
-            value = Double.NaN;
-        }
+        // Danger: Java would read "5d", "0x1p3" and "1e9" as numbers too; clients write plain decimals.
+        double value = NUMBER.matcher(text).matches() ? Double.parseDouble(text) : Double.NaN;
         if (!(value >= 0 && value <= most)) {
             throw new Rejected(400, header + " is not a number from 0 to " + (long) most);
         }
--- /dev/null
+++ b/src/test/java/nettlewick/net/ClientGuardTest.java
@@ -0,0 +1,169 @@
+package nettlewick.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.vertx.core.http.HttpServerOptions;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import nettlewick.core.Clock;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** What clients may send, byte by byte, against a guard on a channel without a socket. */
+class ClientGuardTest {
+    private static final String GET = "GET /a HTTP/1.1\r\n\r\n";
+    private final Clock clock = Clock.standing(1000);
+    private final ClientGuard guard = new ClientGuard(clock, new ClientGuard.Budget(100_000));
+    private final EmbeddedChannel channel = new EmbeddedChannel(
+            new StrictDecoder(new HttpServerOptions(), () -> guard().bytes()), new HttpResponseEncoder(), guard);
+
+    private ClientGuard guard() {
+        return guard;
+    }
+
+    private void send(String text) {
+        channel.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1));
+    }
+
+    /** Paths and bodies of the requests that got through. */
+    private List<String> passed() {
+        List<String> all = new ArrayList<>();
+        for (Object o = channel.readInbound(); o != null; o = channel.readInbound()) {
+            all.add(o instanceof HttpRequest r ? r.uri()
+                    : ((LastHttpContent) o).content().toString(StandardCharsets.US_ASCII));
+        }
+        return all;
+    }
+
+    private String answers() {
+        StringBuilder all = new StringBuilder();
+        for (ByteBuf b = channel.readOutbound(); b != null; b = channel.readOutbound()) {
+            all.append(b.toString(StandardCharsets.US_ASCII));
+        }
+        return all.toString();
+    }
+
+    private void serve() {
+        channel.writeOutbound(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK));
+        channel.runPendingTasks();
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"Content-Length: x", "Content-Length: -1", "Content-Length: +1", "Content-Length:",
+            "Content-Length: 99999999999999999999", "Content-Length: 1\r\nContent-Length: 1",
+            "Content-Length: 1, 1", "Content-Length: 1\r\nTransfer-Encoding: chunked",
+            "Transfer-Encoding: chunked\r\nContent-Length: 1", "Content-Length: 1\r\nTransfer-Encoding: gzip",
+            "Transfer-Encoding: gzip, chunked", "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+            "Content-Length : 1", "X: a\u0001b", "no header"})
+    void aHeadThatFramesNoBodyBeyondDoubtIsRefused(String header) {
+        send("POST /a HTTP/1.1\r\n" + header + "\r\n\r\nzGET /hidden HTTP/1.1\r\n\r\n");
+        assertEquals(List.of(), passed());
+        assertTrue(answers().startsWith("HTTP/1.1 400 "));
+    }
+
+    @Test
+    void aLongBodyIsRefusedAtItsHeadAndAnEndlessHeadAtItsBound() {
+        send("POST /a HTTP/1.1\r\nContent-Length: 60000000\r\n\r\n");
+        assertTrue(answers().startsWith("HTTP/1.1 413 "));
+        for (int i = 0; i < 40; i++) {
+            send("x".repeat(8192));
+        }
+        assertFalse(channel.config().isAutoRead(), "a bounded rest is read, then no more");
+        EmbeddedChannel other = new EmbeddedChannel(new StrictDecoder(new HttpServerOptions(), () -> { }),
+                new HttpResponseEncoder(), new ClientGuard(clock, new ClientGuard.Budget(1)));
+        other.writeInbound(Unpooled.copiedBuffer("GET /a HTTP/1.1\r\n" + "A: b\r\n".repeat(4000),
+                StandardCharsets.US_ASCII));
+        assertTrue(((ByteBuf) other.readOutbound()).toString(StandardCharsets.US_ASCII).contains(" 431 "));
+    }
+
+    @Test
+    void aChunkedBodyIsCountedAndBadChunksAreRefused() {
+        String head = "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+        send(head + "2\r\nab\r\n1\r\nc\r\n0\r\n\r\n");
+        assertEquals(List.of("/a", "abc"), passed());
+        serve();
+        answers();
+        send(head + "zz\r\n");
+        assertEquals(List.of(), passed());
+        assertTrue(answers().startsWith("HTTP/1.1 400 "));
+    }
+
+    @Test
+    void halfARequestFollowedByACloseDispatchesNothing() {
+        send("POST /a HTTP/1.1\r\nContent-Length: 5\r\n\r\nabc");
+        channel.close();
+        assertEquals(List.of(), passed());
+    }
+
+    @Test
+    void requestsAreServedOneByOneAndAFloodNotAtAll() {
+        send(GET + GET.replace("/a", "/b"));
+        assertEquals(List.of("/a", ""), passed());
+        serve();
+        assertEquals(List.of("/b", ""), passed());
+        serve();
+        answers();
+        send(GET.repeat(300));
+        assertEquals(List.of(), passed());
+        assertTrue(answers().startsWith("HTTP/1.1 429 "));
+    }
+
+    @Test
+    void theClientIsToldToGoOnBeforeItsBodyComes() {
+        send("POST /a HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 1\r\n\r\n");
+        assertEquals("HTTP/1.1 100 Continue\r\n\r\n", answers());
+        send("x");
+        assertEquals(List.of("/a", "x"), passed());
+    }
+
+    @Test
+    void aSilentClientIsClosedASlowOneToldAndOneThatIsWorkedForLeftAlone() {
+        clock.set(1000 + ClientState.READ - 1);
+        guard.sweep(clock.now());
+        assertTrue(channel.isOpen());
+        send("GET /a HT");
+        clock.set(1000 + ClientState.READ);
+        guard.sweep(clock.now());
+        assertTrue(answers().startsWith("HTTP/1.1 408 "));
+        clock.set(clock.now() + ClientState.LINGER);
+        guard.sweep(clock.now());
+        assertFalse(channel.isOpen());
+    }
+
+    @Test
+    void aRequestBeingWorkedOnHasNoTimeLimitHere() {
+        send(GET);
+        clock.set(1e9);
+        guard.sweep(clock.now());
+        assertTrue(channel.isOpen());
+        assertNull(channel.readOutbound());
+    }
+
+    @Test
+    void bodiesOfAllClientsTogetherAreBounded() {
+        ClientGuard.Budget budget = new ClientGuard.Budget(10);
+        List<EmbeddedChannel> clients = new ArrayList<>();
+        for (int i = 0; i < 2; i++) {
+            clients.add(new EmbeddedChannel(new StrictDecoder(new HttpServerOptions(), () -> { }),
+                    new HttpResponseEncoder(), new ClientGuard(clock, budget)));
+            clients.get(i).writeInbound(Unpooled.copiedBuffer(
+                    "POST /a HTTP/1.1\r\nContent-Length: 9\r\n\r\n12345678", StandardCharsets.US_ASCII));
+        }
+        assertNull(clients.get(0).readOutbound());
+        assertTrue(((ByteBuf) clients.get(1).readOutbound()).toString(StandardCharsets.US_ASCII).contains(" 503 "));
+    }
+}
--- a/src/test/java/nettlewick/net/ConnectionModelTest.java
+++ b/src/test/java/nettlewick/net/ConnectionModelTest.java
@@ -81,4 +81,59 @@
         pool.closeAll();
         assertEquals(gone.size() + model.size(), closed.size());
     }
+
+    /** The model: the phase as a letter, when it began, and what was served. */
+    @Property(seed = SEED, tries = 1000)
+    void aClientsConnectionEndsInTimeAndNeverWhileItIsWorkedFor(
+            @ForAll @Size(max = 30) List<@IntRange(max = 6) Integer> steps) {
+        ClientState state = new ClientState(0);
+        char phase = 'W';
+        double now = 0;
+        double since = 0;
+        int answers = 0;
+        int served = 0;
+        for (int step : steps) {
+            switch (step) {
+                case 0 -> {
+                    state.bytes(now);
+                    since = phase != 'W' ? since : answers == 0 ? 0 : now;
+                    phase = phase == 'W' ? 'R' : phase;
+                }
+                case 1 -> {
+                    assertEquals(phase == 'R', state.whole());
+                    phase = phase == 'R' ? 'B' : phase;
+                }
+                case 2 -> {
+                    state.answered(now, steps.size() % 2 == 0);
+                    if (phase == 'B') {
+                        phase = 'W';
+                        since = now;
+                        answers++;
+                        served += 1 - steps.size() % 2;
+                    }
+                }
+                case 3 -> {
+                    boolean first = "WRB".indexOf(phase) >= 0;
+                    assertEquals(first, state.refuse(now));
+                    since = first ? now : since;
+                    phase = first ? 'X' : phase;
+                }
+                case 4 -> {
+                    state.closed();
+                    phase = 'C';
+                }
+                default -> now += step == 5 ? 900 : 3000;
+            }
+            double age = now - since;
+            double most = switch (phase) {
+                case 'W' -> served > 0 ? 60_000 : 2400;
+                case 'R' -> 2400;
+                case 'X' -> 1000;
+                default -> Double.MAX_VALUE;
+            };
+            assertEquals(age >= most, state.late(now, false), phase + " since " + age);
+            assertEquals(phase == 'W', state.idle());
+            assertEquals(served, state.merit());
+        }
+    }
 }
--- a/src/test/java/nettlewick/net/NodeTest.java
+++ b/src/test/java/nettlewick/net/NodeTest.java
@@ -93,14 +93,43 @@
         for (Buffer bad : List.of(Buffer.buffer("NONSENSE\r\n\r\n"), job("/api", "1", "step-view", big),
                 job("/other", "1", "step-view", ""), Buffer.buffer("GET /api HTTP/1.1\r\nHost: x\r\n\r\n"),
                 job("/api", "1", "no-class", ""), job("/api", "1", "step-view", "", "X-Cost-Hint: z"),
+                job("/api", "1", "step-view", "", "X-Request-Id: 2"),
+                Buffer.buffer(job("/api", "1", "step-view", "").toString().replace("X-Deadline: 4", "X-Deadline: 5d")),
                 Buffer.buffer("POST /api HTTP/1.1\r\nX-Class: step-view\r\nContent-Length: 0\r\n\r\n"))) {
             answers.add(send(port, bad).replaceAll("(?s)HTTP/1.. (\\d+).*", "$1"));
         }
-        assertEquals(List.of("400", "413", "404", "405", "400", "400", "400"), answers);
+        assertEquals(List.of("400", "413", "404", "405", "400", "400", "400", "400", "400"), answers);
         assertTrue(send(port, job("/api", "ok", "step-view", "")).contains("r-ok"));
         assertEquals(1, world.seen.size());
     }
 
+    /** Guards against a crowd that asks once, or nothing, and stays: it must not drive out those who work. */
+    @Test
+    void aCrowdMakesWayAndDoesNotUseUpTheSockets() throws Exception {
+        world.addRunner("s-1");
+        Map<String, Object> config = world.config();
+        config.put("limits", Map.of("sockets", 90));
+        int port = world.start(config).ports().get(0);
+        until(() -> send(port, HEALTH).startsWith("HTTP/1.1 200"));
+        List<Socket> crowd = new ArrayList<>();
+        try (Socket usual = new Socket("127.0.0.1", port)) {
+            for (int i = 0; i < 120; i++) {
+                crowd.add(new Socket("127.0.0.1", port));
+                if (i % 40 == 0) {
+                    usual.getOutputStream().write(job("/api", "u" + i, "step-view", "").getBytes());
+                    assertTrue(usual.getInputStream().read(new byte[4096]) > 0, "still connected, and served");
+                }
+            }
+            for (Socket member : crowd.subList(0, 90)) {
+                assertEquals(-1, member.getInputStream().read(), "closed to make way");
+            }
+        } finally {
+            for (Socket member : crowd) {
+                member.close();
+            }
+        }
+    }
+
     @Test
     void healthIsRefusedUntilAListIsHeld() throws Exception {
         Map<String, Object> config = world.config();
