SIGHUP rereads the configuration: the watch moves, the whole list is asked for, the held one serves

Lines at fault besides: Config.address, where $ROUTER_DISCOVERY went over the file for good; ResolverWatch, whose address was final and which would have asked after=N of the old address's count; its connect(), which kept a connection that came up after the watch had moved on; ResolverResult.of, where one odd entry cost all. Hangup catches the signal from the first line of main (a test raises it). A bad file is one warning.

--- a/src/main/java/nettlewick/cli/Main.java
+++ b/src/main/java/nettlewick/cli/Main.java
@@ -15,6 +15,7 @@
     }
 
     public static void main(String[] args) {
+        Hangup.install();
         Log.choose();
         int code = run(args);
         if (code != 0) {
--- a/src/main/java/nettlewick/cli/Serve.java
+++ b/src/main/java/nettlewick/cli/Serve.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.logging.Logger;
 import nettlewick.core.Clock;
 import nettlewick.net.Config;
 import nettlewick.net.Fields;
@@ -32,6 +33,7 @@
     @Parameter(names = "--capture-mb", description = "Most megabytes of that file")
     private int captureMost = 16;
 
+    private static final Logger LOG = Logger.getLogger("node");
     private static final long MEGABYTE = 1 << 20;
     private static final int START_SECONDS = 20;
 
@@ -58,6 +60,7 @@
             node.shutDown();
             Runtime.getRuntime().halt(0);
         }, "shutdown"));
+        Hangup.serve(() -> reread(node));
         try {
             node.start().toCompletionStage().toCompletableFuture().get(START_SECONDS, TimeUnit.SECONDS);
         } catch (ExecutionException | TimeoutException e) {
@@ -69,6 +72,15 @@
         return 0;
     }
 
+    /** Danger: a bad file must not cost what is in force. */
+    private static void reread(Node node) {
+        try {
+            node.reload(Config.reload(System.getenv()));
+        } catch (RuntimeException e) {
+            LOG.warning("the old configuration stays: " + e.getMessage());
+        }
+    }
+
     private Tap writer(Clock clock) {
         try {
             return new CaptureWriter(Files.newOutputStream(Path.of(capture)), clock, captureMost * MEGABYTE);
--- a/src/main/java/nettlewick/core/Core.java
+++ b/src/main/java/nettlewick/core/Core.java
@@ -36,7 +36,7 @@
     private final Dispatcher module;
     private final Settings settings;
     private final Transport transport;
-    private final int maxOpen;
+    private int maxOpen;
     private final BlockingQueue<Runnable> inbox = new LinkedBlockingQueue<>();
     private final PriorityQueue<Due> timers = new PriorityQueue<>();
     private final Map<String, Open> open = new HashMap<>();
@@ -142,6 +142,11 @@
         inbox.add(() -> then.accept(unanswered));
     }
 
+    /** From now on so many requests may wait for their final answer at once. */
+    public void reload(int most) {
+        inbox.add(() -> maxOpen = most);
+    }
+
     public void stop() {
         inbox.add(() -> stopped = true);
     }
--- a/src/main/java/nettlewick/net/Config.java
+++ b/src/main/java/nettlewick/net/Config.java
@@ -3,11 +3,14 @@
 import io.vertx.core.net.SocketAddress;
 import java.io.IOException;
 import java.nio.file.Files;
+import java.nio.file.InvalidPathException;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-
+import java.util.Objects;
 import nettlewick.decision.Dispatcher.*;
 
 /** What the platform tells a dispatcher: {@code $ROUTER_CONFIG}, with the other variables over it. */
@@ -25,11 +28,21 @@
         }
         try {
             return of(Files.readString(Path.of(file)), environment);
-        } catch (IOException | IllegalArgumentException e) {
+        } catch (IOException | InvalidPathException e) {
             throw new Fields.Bad("ROUTER_CONFIG", file + " (" + e + ")", "a readable file");
         }
     }
 
+    /**
+     * Reads it once more, after SIGHUP. Danger: $ROUTER_DISCOVERY is as old as the process; the address that
+     * the file names now counts over it.
+     */
+    public static Config reload(Map<String, String> environment) {
+        Map<String, String> rest = new HashMap<>(environment);
+        rest.remove("ROUTER_DISCOVERY");
+        return load(rest);
+    }
+
     /** Reads a configuration from its text. */
     public static Config of(String text, Map<String, String> environment) {
         Fields f = Fields.parse("the configuration", text);
@@ -49,13 +62,21 @@
                 address(f, "discovery", environment.get("ROUTER_DISCOVERY")),
                 seed(seed), (int) limits.wholeOr("sockets", 1024, 32, 1 << 20),
                 f.has("peer_listen") ? address(f, "peer_listen", null) : null, peers,
-                f.has("known") ? ResolverResult.of(f.part("known")) : null, settings,
+                f.has("known") ? known(f.part("known")) : null, settings,
                 ceilings.numberOr("connect_timeout", 1e9, 1e6, 1e11) / MILLION,
                 ceilings.numberOr("conn_idle", 5e9, 1e6, 1e13) / MILLION,
                 (int) ceilings.wholeOr("max_open", 10_000, 1, Integer.MAX_VALUE),
                 f.part("settings").partOr("report").texts("names"));
     }
 
+    private static ResolverResult known(Fields f) {
+        ResolverResult known = ResolverResult.of(f);
+        if (!known.faults().isEmpty()) {
+            throw known.faults().get(0);
+        }
+        return known;
+    }
+
     private static long seed(String text) {
         try {
             return Long.parseUnsignedLong(text, 16);
@@ -130,6 +151,24 @@
         throw new Fields.Bad(f.path(name), f.text(name), "one of " + List.of(values));
     }
 
+    /** The fields in which that one differs and which cannot change while the dispatcher runs. */
+    List<String> needRestart(Config next) {
+        Map<String, Boolean> same = new LinkedHashMap<>();
+        same.put("name", name.equals(next.name));
+        same.put("listen", listen.equals(next.listen));
+        same.put("limits.sockets", sockets == next.sockets);
+        same.put("peer_listen", Objects.equals(peerListen, next.peerListen));
+        same.put("settings", settings.equals(next.settings));
+        same.put("settings.ceilings.connect_timeout", connectTimeout == next.connectTimeout);
+        return same.entrySet().stream().filter(e -> !e.getValue()).map(Map.Entry::getKey).toList();
+    }
+
+    /** This one, with what may change while the dispatcher runs as in that one. */
+    Config changed(Config next) {
+        return new Config(name, listen, next.discovery, seed, sockets, peerListen, next.peers, known,
+                settings, connectTimeout, next.connIdle, next.maxOpen, reportNames);
+    }
+
     /** True if this is a class of the settings. */
     boolean hasClass(String name) {
         return settings.classes().stream().anyMatch(c -> c.name().equals(name));
--- a/src/main/java/nettlewick/net/Fields.java
+++ b/src/main/java/nettlewick/net/Fields.java
@@ -115,11 +115,20 @@
         return has(name) ? part(name) : new Fields(path(name) + ".", new JsonObject());
     }
 
+    public int size(String name) {
+        return array(name).size();
+    }
+
+    /** The part of that number in an array. */
+    public Fields part(String name, int number) {
+        String place = path(name) + "[" + number + "]";
+        return new Fields(place + ".", object(place, array(name).get(number)));
+    }
+
     public List<Fields> parts(String name) {
         List<Fields> parts = new ArrayList<>();
-        for (JsonElement e : array(name)) {
-            String place = path(name) + "[" + parts.size() + "]";
-            parts.add(new Fields(place + ".", object(place, e)));
+        for (int i = 0; i < size(name); i++) {
+            parts.add(part(name, i));
         }
         return parts;
     }
--- a/src/main/java/nettlewick/net/IdlePool.java
+++ b/src/main/java/nettlewick/net/IdlePool.java
@@ -3,6 +3,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.function.Consumer;
+import java.util.function.DoubleSupplier;
 
 /** Connections that carry nothing: the newest is reused first, and none that has idled too long. */
 final class IdlePool<T> {
@@ -10,14 +11,14 @@
     }
 
     private final Deque<Idle<T>> idle = new ArrayDeque<>();
-    private final double patience;
+    private final DoubleSupplier patience;
     private final Consumer<T> close;
 
     /**
      * @param patience milliseconds of idling; well below the time at which the runner's side closes, since a
      *                 request on a connection closed by then ends as a reset that a mark-submit cannot repeat
      */
-    IdlePool(double patience, Consumer<T> close) {
+    IdlePool(DoubleSupplier patience, Consumer<T> close) {
         this.patience = patience;
         this.close = close;
     }
@@ -35,7 +36,7 @@
 
     /** Closes what has idled too long. */
     void expire(double now) {
-        while (!idle.isEmpty() && now - idle.peekFirst().since() >= patience) {
+        while (!idle.isEmpty() && now - idle.peekFirst().since() >= patience.getAsDouble()) {
             close.accept(idle.pollFirst().link());
         }
     }
--- a/src/main/java/nettlewick/net/Node.java
+++ b/src/main/java/nettlewick/net/Node.java
@@ -28,11 +28,11 @@
     /** Connections accepted beyond those a front keeps: the front chooses which of them stays. */
     private static final int SPARE = 8;
 
-    private final Config config;
+    private volatile Config config;
     private final Clock clock;
     private final Vertx vertx;
     private final int perFront;
-    private Context loop;
+    private final Context loop;
     private Core core;
     private Subchannels subchannels;
     private ResolverWatch watch;
@@ -54,12 +54,12 @@
                 .setInternalBlockingPoolSize(1).setFileSystemOptions(new FileSystemOptions()
                         .setFileCachingEnabled(false).setClassPathResolvingEnabled(false)))
                 .withTransport(new AcceptGate(clients)).build();
+        loop = vertx.getOrCreateContext();
     }
 
     /** Starts all parts; done once the sockets listen. */
     public Future<Void> start() {
         Promise<Void> started = Promise.promise();
-        loop = vertx.getOrCreateContext();
         loop.runOnContext(v -> {
             PeerSocket peers = new PeerSocket(vertx, config);
             subchannels = new Subchannels(vertx, loop, config, clock, peers);
@@ -99,6 +99,11 @@
         return ports;
     }
 
+    /** Where the watch is on now. */
+    SocketAddress discovery() {
+        return config.discovery();
+    }
+
     /** Whether a list of sim runners is held. */
     boolean holdsList() {
         return holdsList;
@@ -123,6 +128,19 @@
         LOG.log(Level.INFO, "shut down");
     }
 
+    /** Takes a configuration that was read anew over, as far as that can be done while serving. */
+    public void reload(Config next) {
+        loop.runOnContext(v -> {
+            List<String> stay = config.needRestart(next);
+            config = config.changed(next);
+            watch.move(config.discovery());
+            subchannels.reload(config);
+            core.reload(config.maxOpen());
+            LOG.info("configuration reread, discovery at " + config.discovery().hostAddress() + ":"
+                    + config.discovery().port() + (stay.isEmpty() ? "" : "; only a restart changes " + stay));
+        });
+    }
+
     /** Ends at once, whatever is still open. */
     public Future<Void> close() {
         Promise<Void> stopped = Promise.promise();
--- a/src/main/java/nettlewick/net/PeerSocket.java
+++ b/src/main/java/nettlewick/net/PeerSocket.java
@@ -14,13 +14,19 @@
 final class PeerSocket {
     private static final int MOST = 256;
 
-    private final Config config;
+    private Config config;
     private final DatagramSocket socket;
     private final Map<String, Integer> ranks = new HashMap<>();
 
     PeerSocket(Vertx vertx, Config config) {
-        this.config = config;
         socket = vertx.createDatagramSocket(new DatagramSocketOptions());
+        reload(config);
+    }
+
+    /** Takes the peers' addresses over. */
+    void reload(Config next) {
+        config = next;
+        ranks.clear();
         for (int rank = 0; rank < config.peers().size(); rank++) {
             ranks.put(name(config.peers().get(rank)), rank);
         }
--- a/src/main/java/nettlewick/net/ResolverWatch.java
+++ b/src/main/java/nettlewick/net/ResolverWatch.java
@@ -22,18 +22,24 @@
     private static final Logger LOG = Logger.getLogger("resolver");
     /** Discovery writes an empty line every 2 s; a watch silent for longer than two of them is broken. */
     private static final double SILENCE = 5000;
+    /** The agent answers at once: a watch without a first line for so long is broken. */
+    private static final double FIRST_SILENCE = 1500;
     private static final long CHECK = 500;
     private static final int CONNECT_TIMEOUT = 1000;
     private static final long PAUSE_LEAST = 100;
     private static final long PAUSE_MOST = 2000;
+    /** The same at an address that has not answered yet: after a move nothing is told until it does. */
+    private static final long NEW_PAUSE_MOST = 400;
     private static final int LINE_MOST = 4 << 20;
 
     private final Vertx vertx;
     private final HttpClientAgent client;
-    private final SocketAddress discovery;
     private final Clock clock;
     private final Consumer<ResolverResult> sink;
+    private SocketAddress discovery;
+    /** Version of the list as this address counts; below 0 before its first word. */
     private long seq = -1;
+    private boolean heard;
     private long pause = PAUSE_LEAST;
     private int round;
     private boolean stopped;
@@ -56,7 +62,7 @@
             sink.accept(known);
         }
         vertx.setPeriodic(CHECK, id -> {
-            if (connection != null && clock.now() - heardAt > SILENCE) {
+            if (connection != null && clock.now() - heardAt > (heard ? SILENCE : FIRST_SILENCE)) {
                 broken(round, "silent");
             }
         });
@@ -69,10 +75,16 @@
         }
         int mine = ++round;
         heardAt = clock.now();
+        heard = false;
         client.connect(new HttpConnectOptions().setServer(discovery).setHost(discovery.hostAddress())
                 .setPort(discovery.port()).setSsl(false))
                 .onFailure(e -> broken(mine, "cannot connect"))
                 .onSuccess(made -> {
+                    if (mine != round) {
+                        // The watch moved on while this connection came up.
+                        made.close();
+                        return;
+                    }
                     connection = made;
                     made.exceptionHandler(e -> { });
                     made.closeHandler(v -> broken(mine, "closed"));
@@ -104,6 +116,7 @@
             return;
         }
         heardAt = clock.now();
+        heard = true;
         String text = line.toString(StandardCharsets.UTF_8);
         if (text.isBlank()) {
             return;
@@ -111,6 +124,9 @@
         try {
             ResolverResult news = ResolverResult.of(Fields.parse("the list", text));
             pause = PAUSE_LEAST;
+            if (!news.faults().isEmpty()) {
+                LOG.warning(news.faults().size() + " entries left out: " + news.faults().get(0).getMessage());
+            }
             if (news.whole() || news.seq() > seq) {
                 seq = news.seq();
                 sink.accept(news);
@@ -120,6 +136,26 @@
         }
     }
 
+    /**
+     * Discovery is at another address now. What is held stands until the whole list has come from there.
+     * Danger: the new one counts on its own; asked for what came after the old one's number, it may tell
+     * nothing for long.
+     */
+    void move(SocketAddress to) {
+        if (stopped || to.equals(discovery)) {
+            return;
+        }
+        discovery = to;
+        seq = -1;
+        pause = PAUSE_LEAST;
+        round++;
+        if (connection != null) {
+            connection.close();
+            connection = null;
+        }
+        connect();
+    }
+
     /** Ends the watch for good. Danger: a round begun on a client that is closed would throw. */
     void stop() {
         round++;
@@ -138,7 +174,12 @@
             connection = null;
         }
         long wait = pause / 2 + ThreadLocalRandom.current().nextLong(pause / 2 + 1);
-        pause = Math.min(PAUSE_MOST, 2 * pause);
-        vertx.setTimer(Math.max(1, wait), id -> connect());
+        pause = Math.min(seq < 0 ? NEW_PAUSE_MOST : PAUSE_MOST, 2 * pause);
+        int last = round;
+        vertx.setTimer(Math.max(1, wait), id -> {
+            if (last == round) {
+                connect();
+            }
+        });
     }
 }
--- a/src/main/java/nettlewick/net/Subchannel.java
+++ b/src/main/java/nettlewick/net/Subchannel.java
@@ -71,7 +71,7 @@
     Subchannel(String host, Subchannels subchannels) {
         this.host = host;
         this.subchannels = subchannels;
-        idle = new IdlePool<>(subchannels.config().connIdle() * IDLE_PART, Link::close);
+        idle = new IdlePool<>(() -> subchannels.config().connIdle() * IDLE_PART, Link::close);
     }
 
     /** Takes news of the runner over. */
--- a/src/main/java/nettlewick/net/Subchannels.java
+++ b/src/main/java/nettlewick/net/Subchannels.java
@@ -22,7 +22,7 @@
 
     private final Vertx vertx;
     private final Context loop;
-    private final Config config;
+    private Config config;
     private final Clock clock;
     private final HttpClientAgent client;
     private final PeerSocket peers;
@@ -52,6 +52,12 @@
         vertx.setPeriodic(SWEEP, id -> all.values().forEach(s -> s.idle().expire(now())));
     }
 
+    /** Takes over what may change: the addresses of peers and the patience of idle connections. */
+    void reload(Config next) {
+        config = next;
+        peers.reload(next);
+    }
+
     Core core() {
         return core;
     }
--- a/src/test/java/nettlewick/cli/MainTest.java
+++ b/src/test/java/nettlewick/cli/MainTest.java
@@ -7,10 +7,12 @@
 import java.io.PrintStream;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.concurrent.Semaphore;
 import java.util.logging.ConsoleHandler;
 import java.util.logging.LogManager;
 import java.util.logging.Logger;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 
 /** The command line: one plain line and an exit code for whatever is wrong. */
@@ -43,6 +45,21 @@
         run(1, "replay", dir.resolve("none").toString());
     }
 
+    /** Guards against the JVM's own answer to SIGHUP, which is to end; one that came early is not forgotten. */
+    @Test
+    @Timeout(20)
+    void aHangupIsCaughtBeforeAnybodyAsksForIt() throws Exception {
+        Hangup.install();
+        Class<?> signal = Class.forName("sun.misc.Signal");
+        Object hup = signal.getConstructor(String.class).newInstance("HUP");
+        signal.getMethod("raise", signal).invoke(null, hup);
+        Semaphore reread = new Semaphore(0);
+        Hangup.serve(reread::release);
+        reread.acquire();
+        signal.getMethod("raise", signal).invoke(null, hup);
+        reread.acquire();
+    }
+
     /** Guards against a planned end that goes unlogged: the JDK's manager closes the log when the JVM ends. */
     @Test
     void theLogStaysOpenToTheEnd() {
--- a/src/test/java/nettlewick/net/ConnectionModelTest.java
+++ b/src/test/java/nettlewick/net/ConnectionModelTest.java
@@ -52,7 +52,7 @@
     @Property(seed = SEED, tries = 500)
     void theNewestIdleLinkIsTakenAndNoOldOne(@ForAll @Size(max = 40) List<@IntRange(max = 5) Integer> steps) {
         List<Integer> closed = new ArrayList<>();
-        IdlePool<Integer> pool = new IdlePool<>(10, closed::add);
+        IdlePool<Integer> pool = new IdlePool<>(() -> 10, closed::add);
         List<int[]> model = new ArrayList<>();
         List<Integer> gone = new ArrayList<>();
         int now = 0;
--- a/src/test/java/nettlewick/net/NodeTest.java
+++ b/src/test/java/nettlewick/net/NodeTest.java
@@ -4,6 +4,7 @@
 import static nettlewick.net.StandIns.until;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -15,6 +16,8 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
@@ -24,6 +27,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
 
 /** A whole dispatcher on loopback, between stand-ins. */
 @Timeout(30)
@@ -238,6 +242,50 @@
         assertTrue(send(port, job("/api", "x", "step-view", "")).startsWith("broken"));
     }
 
+    /** Guards against going on with the old address, its numbers, or without a list while the new is silent. */
+    @Test
+    void aNewDiscoveryIsAskedForItsWholeListAndTheHeldOneServesMeanwhile() throws Exception {
+        int port = port("s-1");
+        Node node = world.node();
+        Map<String, Object> config = world.config();
+        String file = new Gson().toJson(config);
+        try (StandIns other = new StandIns()) {
+            config.put("discovery", "127.0.0.1:1");
+            config.put("name", "n9");
+            Config moved = Config.of(new Gson().toJson(config), Map.of());
+            assertEquals(List.of("name"), Config.of(file, Map.of()).needRestart(moved));
+            node.reload(moved);
+            until(() -> node.discovery().port() == 1);
+            assertTrue(send(port, job("/api", "a", "step-view", "")).endsWith("r-a"), "served from what is held");
+            other.addRunner("s-2");
+            node.reload(Config.of(new Gson().toJson(other.config()), Map.of()));
+            until(() -> other.watches.size() == 1);
+            assertEquals("/catalog/members?watch=1", other.watches.get(0));
+            until(() -> send(port, job("/api", "b" + System.nanoTime(), "step-view", "")).contains(" 200 ")
+                    && other.seen.size() > 0);
+        }
+    }
+
+    @Test
+    void theFileCountsOverTheEnvironmentOnceItIsReadAgain(@TempDir Path dir) throws Exception {
+        Path file = Files.writeString(dir.resolve("c"), new Gson().toJson(world.config()));
+        Map<String, String> environment = Map.of("ROUTER_CONFIG", file.toString(),
+                "ROUTER_DISCOVERY", "127.0.0.9:9");
+        assertEquals(9, Config.load(environment).discovery().port());
+        assertNotEquals(9, Config.reload(environment).discovery().port());
+        Files.writeString(file, "{");
+        assertThrows(Fields.Bad.class, () -> Config.reload(environment));
+    }
+
+    @Test
+    void oneBadEntryDoesNotCostTheOthers() throws Exception {
+        world.addRunner("s-1");
+        world.tell("s-0", "Odd");
+        int port = world.start().ports().get(0);
+        until(() -> send(port, HEALTH).startsWith("HTTP/1.1 200"));
+        assertTrue(send(port, job("/api", "a", "step-view", "")).endsWith("r-a"));
+    }
+
     @Test
     void badConfigurationIsOneLineThatNamesFieldAndValue() throws Exception {
         Map<String, Object> config = world.config();
--- a/src/test/java/nettlewick/net/StandIns.java
+++ b/src/test/java/nettlewick/net/StandIns.java
@@ -166,6 +166,10 @@
                 "127.0.0.1:" + discovery.actualPort(), "seed", "8c1f30d27a5be964", "settings", settings));
     }
 
+    Node node() {
+        return node;
+    }
+
     public Node start(Front.Maker... more) throws Exception {
         return start(config(), more);
     }
