Serve the connections at hand until just before the kill, and start without the flight recorder

A client leaves a dispatcher within 0.5 to 1 s of SIGTERM whatever it does. So what the program can still win is its own start. Changes at the end: connections at hand go on being served until 0.6 s before the kill (they were closed after 0.7 s), and what came late and is still open 0.25 s before it is ended by a refusal where harmless.

--- a/src/main/java/nettlewick/core/Core.java
+++ b/src/main/java/nettlewick/core/Core.java
@@ -29,6 +29,8 @@
     private static final double PROBE_PATIENCE = 1000;
     /** Past the deadline by this much, a request that the module left open is failed here. */
     private static final double GUARD = 10;
+    /** When to come back to a dispatcher that ends: it is started anew within seconds. */
+    private static final double RESTART = 1000;
     private static final double NANOS = 1e6;
     private static final int BATCH = 512;
 
@@ -51,11 +53,13 @@
     /** A request until its final answer and its last outcome. */
     private static final class Open {
         final Request request;
+        final double arrivedAt;
         final List<Attempt> attempts = new ArrayList<>(2);
         boolean answered;
 
-        Open(Request request) {
+        Open(Request request, double arrivedAt) {
             this.request = request;
+            this.arrivedAt = arrivedAt;
         }
 
         boolean out() {
@@ -147,6 +151,28 @@
         inbox.add(() -> maxOpen = most);
     }
 
+    /**
+     * Ends what came after that time and is still open, for an end of the program that cannot wait: refused
+     * where that is harmless, else failed, since it may be running.
+     */
+    public void endSince(double time) {
+        inbox.add(() -> open.values().stream().filter(o -> !o.answered && o.arrivedAt > time).toList()
+                .forEach(this::endNow));
+    }
+
+    private void endNow(Open o) {
+        answer(o);
+        batch.add(new Abandoned(o.request.id()));
+        boolean harmless = o.attempts.isEmpty() || settings.classes().stream().anyMatch(c ->
+                c.name().equals(o.request.jobClass()) && c.repeat() == Repeat.RETRYABLE);
+        if (harmless) {
+            o.request.caller().refused(settings.limits().retryAfter() ? RESTART : 0);
+        } else {
+            o.request.caller().failed("this dispatcher ends");
+        }
+        forget(o);
+    }
+
     public void stop() {
         inbox.add(() -> stopped = true);
     }
@@ -236,7 +262,7 @@
             r.caller().failed("the deadline has passed");
             return;
         }
-        Open o = new Open(r);
+        Open o = new Open(r, now);
         open.put(r.id(), o);
         unanswered++;
         batch.add(new Arrival(r.id(), r.jobClass(), r.tenant(), nanos(r.deadline()) - nanos(now), r.slots(),
--- a/src/main/java/nettlewick/net/AcceptGate.java
+++ b/src/main/java/nettlewick/net/AcceptGate.java
@@ -19,6 +19,7 @@
 final class AcceptGate implements Transport {
     private final int most;
     private final AtomicInteger open = new AtomicInteger();
+    private final Set<Channel> listeners = ConcurrentHashMap.newKeySet();
     private final Set<Channel> held = ConcurrentHashMap.newKeySet();
 
     AcceptGate(int most) {
@@ -26,6 +27,10 @@
     }
 
     private final class GatedChannel extends NioServerSocketChannel {
+        GatedChannel() {
+            listeners.add(this);
+        }
+
         @Override
         protected int doReadMessages(List<Object> accepted) throws Exception {
             if (open.incrementAndGet() > most) {
@@ -48,6 +53,11 @@
         }
     }
 
+    /** Accepts nothing new; connections that are open stay so. */
+    void close() {
+        listeners.forEach(Channel::close);
+    }
+
     private void leave() {
         if (open.decrementAndGet() < most) {
             for (Channel channel : held) {
--- a/src/main/java/nettlewick/net/Front.java
+++ b/src/main/java/nettlewick/net/Front.java
@@ -22,9 +22,12 @@
     /** Listens; the port that is held comes back. */
     Future<Integer> listen();
 
-    /** From now on every answer closes its connection. */
+    /** Says that it is going to end; what is asked on its connections is still taken. */
     void drain();
 
-    /** Takes nothing new, closes idle connections and waits until all that was taken is answered. */
+    /** Whether a client is connected. */
+    boolean connected();
+
+    /** Closes idle connections, and others with their next answer; done when none is left. */
     Future<Void> shut(long millis);
 }
--- a/src/main/java/nettlewick/net/HttpFront.java
+++ b/src/main/java/nettlewick/net/HttpFront.java
@@ -42,6 +42,7 @@
     private final ClientGuard.Budget budget = new ClientGuard.Budget(HELD_MOST);
     private final Map<HttpConnection, ClientGuard> connections = new LinkedHashMap<>();
     private boolean draining;
+    private boolean closing;
 
     /** {@code sendBuffer} bounds what the kernel holds for a slow reader; -1 leaves it to the kernel. */
     protected HttpFront(Base base, SocketAddress listen, int sendBuffer) {
@@ -118,10 +119,21 @@
         return draining;
     }
 
+    /** Whether every answer closes its connection. */
+    protected final boolean closing() {
+        return closing;
+    }
+
+    @Override
+    public final boolean connected() {
+        return !connections.isEmpty();
+    }
+
     /** Closes connections as they fall idle, and is done when none is left. */
     @Override
     public final Future<Void> shut(long millis) {
         Promise<Void> done = Promise.promise();
+        closing = true;
         server.shutdown(millis, TimeUnit.MILLISECONDS);
         sweep(done, millis);
         return done.future();
--- a/src/main/java/nettlewick/net/Node.java
+++ b/src/main/java/nettlewick/net/Node.java
@@ -23,6 +23,17 @@
     /** New connections keep coming for this long after SIGTERM. */
     private static final long ACCEPT_ON = 700;
     private static final long SHUT_SPARE = 500;
+    /**
+     * SIGKILL comes no sooner than this after the longest deadline, which counts as LONGEST at most. Clients
+     * go on using the connections they have, so these are served for nearly as long: one whose connection
+     * is closed finds nobody else here until the restart.
+     */
+    private static final long KILL = 700;
+    private static final long LONGEST = 3000;
+    /** Before the kill: until when requests are taken, and when what is still open is ended. */
+    private static final long LAST_TAKEN = 600;
+    private static final long LAST_ANSWERED = 250;
+    private static final long LOOK = 50;
     /** One descriptor in so many is for clients. */
     private static final int CLIENTS_PART = 3;
     /** Connections accepted beyond those a front keeps: the front chooses which of them stays. */
@@ -32,6 +43,7 @@
     private final Clock clock;
     private final Vertx vertx;
     private final int perFront;
+    private final AcceptGate gate;
     private final Context loop;
     private Core core;
     private Subchannels subchannels;
@@ -48,12 +60,16 @@
         this.clock = clock;
         // The machine has one core and no disk: one event loop, no cache of files, no DNS.
         System.setProperty("vertx.disableDnsResolver", "true");
+        // Danger: Netty's allocator brings up the flight recorder at its first buffer: a fifth of a second of
+        // CPU at each start, twice that on half a core, while clients wait.
+        System.setProperty("io.netty.jfr.enabled", "false");
         int clients = config.sockets() / CLIENTS_PART;
+        gate = new AcceptGate(clients);
         perFront = Math.max(1, clients / Math.max(1, makers.length) - SPARE);
         vertx = Vertx.builder().with(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1)
                 .setInternalBlockingPoolSize(1).setFileSystemOptions(new FileSystemOptions()
                         .setFileCachingEnabled(false).setClassPathResolvingEnabled(false)))
-                .withTransport(new AcceptGate(clients)).build();
+                .withTransport(gate).build();
         loop = vertx.getOrCreateContext();
     }
 
@@ -113,21 +129,33 @@
     public void shutDown() {
         LOG.info("shutting down");
         CountDownLatch done = new CountDownLatch(1);
+        double began = clock.now();
         long longest = config.settings().classes().stream().mapToLong(JobClass::deadline).max().orElse(0)
-                / 1_000_000 + SHUT_SPARE;
+                / 1_000_000;
+        long kill = Math.min(longest, LONGEST) + KILL;
         loop.runOnContext(v -> {
             fronts.forEach(Front::drain);
-            vertx.setTimer(ACCEPT_ON, id -> Future.join(fronts.stream().map(f -> f.shut(longest)).toList())
-                    .onComplete(r -> done.countDown()));
+            vertx.setTimer(ACCEPT_ON, id -> gate.close());
+            vertx.setTimer(ACCEPT_ON, id -> shut(began + kill - LAST_TAKEN, longest + SHUT_SPARE, done));
+            vertx.setTimer(Math.max(ACCEPT_ON, kill - LAST_ANSWERED), id -> core.endSince(began + ACCEPT_ON));
         });
         try {
-            done.await(ACCEPT_ON + longest + SHUT_SPARE, TimeUnit.MILLISECONDS);
+            done.await(kill + longest + SHUT_SPARE, TimeUnit.MILLISECONDS);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
         LOG.log(Level.INFO, "shut down");
     }
 
+    /** Ends the fronts at that time, or as soon as nobody is connected. */
+    private void shut(double at, long longest, CountDownLatch done) {
+        if (clock.now() < at && fronts.stream().anyMatch(Front::connected)) {
+            vertx.setTimer(LOOK, id -> shut(at, longest, done));
+        } else {
+            Future.join(fronts.stream().map(f -> f.shut(longest)).toList()).onComplete(r -> done.countDown());
+        }
+    }
+
     /** Takes a configuration that was read anew over, as far as that can be done while serving. */
     public void reload(Config next) {
         loop.runOnContext(v -> {
--- a/src/main/java/nettlewick/net/PlatformFront.java
+++ b/src/main/java/nettlewick/net/PlatformFront.java
@@ -103,7 +103,7 @@
         if (response.ended() || response.closed()) {
             return;
         }
-        if (draining()) {
+        if (closing()) {
             response.putHeader("Connection", "close");
         }
         response.setStatusCode(status);
--- a/src/main/java/nettlewick/pcap/ReplayFront.java
+++ b/src/main/java/nettlewick/pcap/ReplayFront.java
@@ -55,6 +55,11 @@
         // Nothing comes in from outside.
     }
 
+    @Override
+    public boolean connected() {
+        return false;
+    }
+
     @Override
     public Future<Void> shut(long millis) {
         return Future.succeededFuture();
--- a/src/test/java/nettlewick/core/CoreTest.java
+++ b/src/test/java/nettlewick/core/CoreTest.java
@@ -163,6 +163,20 @@
         assertTrue(events.contains(new Abandoned("a")));
     }
 
+    /** Guards against a kill that finds unanswered what was taken late: before it, every answer has to be out. */
+    @Test
+    void whatCameLateIsEndedBeforeTheKillAndWhatCameBeforeGoesOn() throws InterruptedException {
+        request("a", 5000);
+        at(0);
+        at(10);
+        request("b", 5000);
+        at(10);
+        core.endSince(START + 5);
+        at(20);
+        assertEquals(List.of("refused b 1000.0"), out);
+        assertTrue(events.contains(new Abandoned("b")) && !events.contains(new Abandoned("a")));
+    }
+
     @Test
     void nothingIsSentToARunnerThatDrainsOrIsUnknownNorBeyondTheCap() throws InterruptedException {
         onArrival(new Dispatch("a", "d", 0), new Dispatch("a", "x", 0), new Dispatch("a", "w", 0));
--- a/src/test/java/nettlewick/net/NodeTest.java
+++ b/src/test/java/nettlewick/net/NodeTest.java
@@ -230,11 +230,18 @@
         CompletableFuture<String> taken = CompletableFuture.supplyAsync(
                 () -> send(port, job("/api", "t", "mark-submit", "")));
         until(() -> world.seen.size() == 1);
-        try (Socket idle = new Socket("127.0.0.1", port)) {
+        try (Socket idle = new Socket("127.0.0.1", port); Socket kept = new Socket("127.0.0.1", port)) {
             CompletableFuture<Void> end = CompletableFuture.runAsync(node::shutDown);
             until(() -> send(port, HEALTH).contains(" 503 "));
             String late = send(port, job("/api", "late", "step-view", ""));
             assertTrue(late.endsWith("r-late"), "still accepting: " + late);
+            // Danger: closed at once, the connections of clients that have nobody else would be a gap in service.
+            until(() -> send(port, HEALTH).startsWith("broken"));
+            world.runTime = 20;
+            kept.getOutputStream().write(job("/api", "kept", "step-view", "").getBytes());
+            byte[] answer = new byte[4096];
+            String got = new String(answer, 0, kept.getInputStream().read(answer), StandardCharsets.US_ASCII);
+            assertTrue(got.endsWith("r-kept"), "served on a connection that was there: " + got);
             assertEquals(-1, idle.getInputStream().read(), "the idle connection is closed");
             assertTrue(taken.get().endsWith("r-t"), taken.get());
             end.get();
