--- a/src/main/java/nettlewick/decision/Logic.java
+++ b/src/main/java/nettlewick/decision/Logic.java
@@ -35,8 +35,6 @@
     private static final double PROBES_PER_ARRIVAL = 3;
     /** A silent worker is left after this many expected job times of silence, summed over its attempts. */
     private static final double SILENCE = 5;
-    /** First time for which a failing worker is left alone; it doubles up to eight times this. */
-    private static final long SHUN = DELTA / 2;
     /** Part of a cold worker's allowed load that all dispatchers together aim at. */
     private static final double COLD_PART = 0.4;
     /** A friend asks after this many silent Δ and inherits after twice as many. */
@@ -75,6 +73,7 @@
     private final List<Tenure> tenures = new ArrayList<>();
     private final List<Pool> pools = new ArrayList<>();
     private List<Worker> watched = List.of();
+    private final Outliers outliers = new Outliers(() -> pools.get(0).ready);
     private final Mean[] pace;
     /** By kind, from -1 on: the most that a job bound to it is worth. */
     private final double[] bound;
@@ -350,7 +349,7 @@
     }
 
     private boolean usable(Job job, Worker w) {
-        return w.ready && now >= w.shunnedUntil && coldAllows(w) && inScope(job, w) && !job.wasAt(w);
+        return w.ready && Outliers.trusts(w, job, now) && coldAllows(w) && inScope(job, w) && !job.wasAt(w);
     }
 
     /** Whether the last choice saw room, or no fresh answer at all. */
@@ -475,7 +474,7 @@
     void end(Outcome e) {
         Worker w = workers.get(e.worker());
         if (w != null) {
-            judge(w, e.result());
+            outliers.judge(w, e.result(), e.latency(), now);
             if (e.load() != null) {
                 report(w, e.load());
             }
@@ -531,8 +530,7 @@
     void progress(Progress e) {
         Worker w = workers.get(e.worker());
         if (w != null) {
-            w.signAt = now;
-            w.strikes = 0;
+            outliers.alive(w, now);
         }
     }
 
@@ -555,29 +553,6 @@
 
     // Health
 
-    private void judge(Worker w, Result result) {
-        switch (result) {
-            case SERVED -> {
-                w.signAt = now;
-                w.strikes = 0;
-                w.shunnedUntil = Math.min(w.shunnedUntil, now);
-            }
-            case FULL -> {
-                w.signAt = now;
-                w.fullAt = now;
-            }
-            // Danger: a worker that answers every job with an error at once always shows room.
-            case ERROR, UNREACHABLE, BROKEN, TIMEOUT -> shun(w);
-        }
-    }
-
-    private void shun(Worker w) {
-        if (now >= w.shunnedUntil) {
-            w.shunnedUntil = now + (SHUN << Math.min(w.strikes, 3));
-            w.strikes++;
-        }
-    }
-
     /** Danger: a hung worker takes work and keeps reporting room. Silence against expectation unmasks it. */
     private void watch() {
         for (Worker w : workers.values()) {
@@ -591,7 +566,7 @@
                 silence += expected <= 0 ? 0 : silent / Math.max(expected, BEAT);
             }
             if (silence > SILENCE) {
-                shun(w);
+                outliers.shun(w, now);
                 for (Attempt a : List.copyOf(w.out)) {
                     rescue(a);
                 }
@@ -682,14 +657,16 @@
             if (e.load() != null) {
                 report(w, e.load());
             }
-        } else if (!e.result().neverRan || e.result() == Result.UNREACHABLE) {
-            shun(w);
+        } else if (e.result() != Result.FULL && e.result() != Result.MOOT) {
+            outliers.judge(w, e.result(), e.latency(), now);
         }
     }
 
     private void report(Worker w, Load load) {
         w.report(load, now, pools.get(w.kind + 1));
         double left = w.free - w.waiting + w.outAt(beats - (int) (REPORT_LAG / BEAT));
+        // Danger: own jobs that an old report does not show yet would be taken for room that others leave.
+        left = Math.min(left, Math.max(1, pools.get(w.kind + 1).slots));
         w.left = now - w.leftAt > DELTA ? left : w.left + (left - w.left) / 2;
         w.leftAt = now;
     }
--- /dev/null
+++ b/src/main/java/nettlewick/decision/Outliers.java
@@ -0,0 +1,70 @@
+package nettlewick.decision;
+
+import java.util.List;
+import java.util.function.Supplier;
+import nettlewick.decision.Dispatcher.Repeat;
+import nettlewick.decision.Dispatcher.Result;
+import nettlewick.decision.State.Job;
+import nettlewick.decision.State.Worker;
+
+/** Outlier detection: which workers are left alone for how they end what is sent, and their way back. */
+final class Outliers {
+    /** First time for which a failing worker is left alone; it doubles up to eight times this. */
+    private static final long SHUN = 500_000_000;
+    /** Breaks in a row that count as the worker's own. */
+    private static final int FAILURES = 2;
+    /** A worker that refuses connections does so at once; one that is cut off takes longer than this. */
+    private static final long REFUSED = 100_000_000;
+    /** Part of the ready workers that may be left alone at once: beyond it the fault is elsewhere. */
+    private static final double MOST = 0.5;
+
+    private final Supplier<List<Worker>> ready;
+
+    Outliers(Supplier<List<Worker>> ready) {
+        this.ready = ready;
+    }
+
+    /** Takes over how an attempt, or a probe that failed, ended at this worker. */
+    void judge(Worker w, Result result, long latency, long now) {
+        switch (result) {
+            case SERVED -> {
+                alive(w, now);
+                w.shunnedUntil = Math.min(w.shunnedUntil, now);
+            }
+            case FULL -> {
+                w.signAt = now;
+                w.fullAt = now;
+            }
+            // Danger: a worker that answers every job with an error at once always shows room.
+            case ERROR, TIMEOUT -> shun(w, now);
+            // Danger: connections break on the way, one here and one there, at workers that are well.
+            case UNREACHABLE, BROKEN -> {
+                if (++w.failures >= FAILURES || result == Result.UNREACHABLE && latency > REFUSED) {
+                    shun(w, now);
+                }
+            }
+            default -> { }
+        }
+    }
+
+    /** A sign of life that only a worker at work gives. */
+    void alive(Worker w, long now) {
+        w.signAt = now;
+        w.strikes = 0;
+        w.failures = 0;
+    }
+
+    void shun(Worker w, long now) {
+        long out = ready.get().stream().filter(o -> now < o.shunnedUntil).count();
+        if (now >= w.shunnedUntil && out + 1 <= Math.max(1, MOST * ready.get().size())) {
+            w.shunnedUntil = now + (SHUN << Math.min(w.strikes, 3));
+            w.strikes++;
+        }
+    }
+
+    /** Danger: a worker whose time is over may be ill still. One harmless job is its probe, then more. */
+    static boolean trusts(Worker w, Job job, long now) {
+        return now >= w.shunnedUntil
+                && (w.strikes == 0 || w.out.isEmpty() && job.kind.repeat() != Repeat.FRAGILE);
+    }
+}
--- a/src/main/java/nettlewick/decision/State.java
+++ b/src/main/java/nettlewick/decision/State.java
@@ -39,6 +39,8 @@
         private final double[] outBefore = new double[16];
         long signAt = NEVER;
         int strikes;
+        /** Connections to it that broke in a row. */
+        int failures;
         long shunnedUntil = NEVER;
         double coldTokens;
         long coldAt;
@@ -54,6 +56,7 @@
             fullAt = NEVER;
             shunnedUntil = NEVER;
             strikes = 0;
+            failures = 0;
         }
 
         /** Takes a report over in slots, whichever values this site's reports hold. */
--- a/src/main/java/nettlewick/net/Call.java
+++ b/src/main/java/nettlewick/net/Call.java
@@ -19,6 +19,7 @@
     protected final Subchannels subchannels;
     private final CallState state = new CallState();
     private Subchannel.Link link;
+    private boolean answering;
 
     Call(Subchannels subchannels) {
         this.subchannels = subchannels;
@@ -34,6 +35,11 @@
     /** The answer's body has come to its end. */
     abstract void answered();
 
+    /** Whether it may be sent once more by itself if the kept connection it was written to turns out dead. */
+    boolean harmless() {
+        return false;
+    }
+
     /** Tells the core how the call ended; called once at most. */
     abstract void tell(Attempt.Outcome outcome);
 
@@ -62,12 +68,28 @@
                     read(came.result());
                 }
             });
-            request.end(body()).onSuccess(v -> state.written());
+            if (on.careful() && body().length() > 0) {
+                // Danger: a reset after the last byte leaves open whether it ran. All but that byte goes
+                // first: a connection that does not stand it breaks while it is certain that it has not run.
+                int last = body().length() - 1;
+                request.write(body().slice(0, last));
+                subchannels.after(on.roundTrip(), () -> end(request, body().slice(last, last + 1)));
+            } else {
+                end(request, body());
+            }
         });
     }
 
+    private void end(HttpClientRequest request, Buffer rest) {
+        if (!over()) {
+            request.end(rest).onSuccess(v -> state.written());
+        }
+    }
+
     private void read(HttpClientResponse response) {
         state.written();
+        answering = true;
+        link.used(false);
         response.exceptionHandler(e -> link.close());
         response.endHandler(v -> {
             answered();
@@ -89,6 +111,15 @@
     }
 
     void broke() {
+        if (link != null && !answering && !over()) {
+            link.used(true);
+            if (harmless() && link.kept()) {
+                link = null;
+                state.again();
+                subchannels.startAnew(this);
+                return;
+            }
+        }
         Result result = state.broke();
         if (result != null) {
             tell(Attempt.Outcome.of(result));
--- a/src/main/java/nettlewick/net/CallState.java
+++ b/src/main/java/nettlewick/net/CallState.java
@@ -31,6 +31,11 @@
         return true;
     }
 
+    /** It starts over on another connection, as only what is harmless to repeat may. */
+    void again() {
+        phase = phase == Phase.OVER ? phase : Phase.CONNECTING;
+    }
+
     /** The last byte is written: from now on it may have run. */
     void written() {
         phase = phase == Phase.WRITING ? Phase.SENT : phase;
--- a/src/main/java/nettlewick/net/LoadProbe.java
+++ b/src/main/java/nettlewick/net/LoadProbe.java
@@ -32,6 +32,11 @@
         return Buffer.buffer();
     }
 
+    @Override
+    boolean harmless() {
+        return true;
+    }
+
     @Override
     void answer(HttpClientResponse response) {
         result = response.statusCode() == OK ? Result.SERVED : unserved(response);
--- /dev/null
+++ b/src/main/java/nettlewick/net/ReuseGauge.java
@@ -0,0 +1,25 @@
+package nettlewick.net;
+
+/**
+ * How far connections that have idled can be trusted. Danger: where runners, or something on the way, close
+ * or reset kept connections, a request written to one ends as a reset: it may have run for all that is known,
+ * and a mark-submit cannot go again. Probes go on using kept ones, and so tell when they are safe again.
+ */
+final class ReuseGauge {
+    /** Weight of the latest use. */
+    private static final double GAIN = 0.1;
+    /** Share of bad uses from which a new connection is the cheaper way. */
+    private static final double MOST = 0.02;
+
+    private double bad;
+
+    /** A kept connection was used, and broke before any answer, or did not. */
+    void used(boolean broke) {
+        bad += GAIN * ((broke ? 1 : 0) - bad);
+    }
+
+    /** Whether a job may go out on a kept connection. */
+    boolean trusts() {
+        return bad < MOST;
+    }
+}
--- a/src/main/java/nettlewick/net/Subchannel.java
+++ b/src/main/java/nettlewick/net/Subchannel.java
@@ -14,14 +14,19 @@
     /** Idle connections are closed after this part of the time at which the runner's machine closes them. */
     private static final double IDLE_PART = 0.6;
 
+    private static final double ROUND_TRIP_MOST = 20;
+
     /** One connection; it carries one call at a time. */
     final class Link {
         final HttpClientConnection connection;
+        private final double madeIn;
         private Call call;
         private boolean closed;
+        private boolean kept;
 
-        private Link(HttpClientConnection connection) {
+        private Link(HttpClientConnection connection, double madeIn) {
             this.connection = connection;
+            this.madeIn = madeIn;
             connection.exceptionHandler(e -> { });
             connection.closeHandler(v -> lost());
         }
@@ -40,6 +45,28 @@
             }
         }
 
+        /** Whether it has idled before its present call. */
+        boolean kept() {
+            return kept;
+        }
+
+        /** What became of the present call's request. */
+        void used(boolean broke) {
+            if (kept || broke) {
+                subchannels.gauge().used(broke);
+            }
+        }
+
+        /** Whether a job's last byte is held back until the connection has stood the others. */
+        boolean careful() {
+            return !subchannels.gauge().trusts();
+        }
+
+        /** Milliseconds in which a reset in answer to what was written is here. */
+        long roundTrip() {
+            return (long) Math.min(ROUND_TRIP_MOST, Math.ceil(madeIn) + 1);
+        }
+
         /** The call's answer has come to its end: the connection may carry the next one. */
         void free(Call done) {
             if (call == done && !closed) {
@@ -109,10 +136,17 @@
             call.finish(Result.FULL, null, null);
             return;
         }
-        Link link = idle.take(subchannels.now());
+        Link link = call.harmless() || subchannels.gauge().trusts() ? idle.take(subchannels.now()) : null;
         if (link != null) {
             use(link, call);
-        } else if (!subchannels.room()) {
+        } else {
+            startAnew(call);
+        }
+    }
+
+    /** Carries a call out on a new connection. */
+    void startAnew(Call call) {
+        if (!subchannels.room()) {
             call.broke();
         } else {
             connect(call);
@@ -122,6 +156,7 @@
     private void connect(Call call) {
         open++;
         subchannels.opened(1);
+        double began = subchannels.now();
         HttpConnectOptions options = new HttpConnectOptions().setServer(dial).setHost(dial.hostAddress())
                 .setPort(dial.port()).setSsl(false);
         subchannels.client().connect(options).onComplete(result -> {
@@ -131,7 +166,7 @@
                 call.broke();
                 return;
             }
-            Link link = new Link(result.result());
+            Link link = new Link(result.result(), subchannels.now() - began);
             if (call.over()) {
                 keep(link);
             } else if (!ready()) {
@@ -150,7 +185,9 @@
     }
 
     private void keep(Link link) {
-        if (ready()) {
+        // One is kept for probes where jobs do not use kept ones.
+        if (ready() && (subchannels.gauge().trusts() || idle.size() == 0)) {
+            link.kept = true;
             idle.put(link, subchannels.now());
         } else {
             link.close();
--- a/src/main/java/nettlewick/net/Subchannels.java
+++ b/src/main/java/nettlewick/net/Subchannels.java
@@ -29,6 +29,7 @@
     private final Map<String, Subchannel> all = new LinkedHashMap<>();
     private final Map<Object, Call> calls = new IdentityHashMap<>();
     private final Map<Call, Object> owners = new IdentityHashMap<>();
+    private final ReuseGauge gauge = new ReuseGauge();
     private Core core;
     private int open;
 
@@ -58,6 +59,10 @@
         peers.reload(next);
     }
 
+    ReuseGauge gauge() {
+        return gauge;
+    }
+
     Core core() {
         return core;
     }
@@ -116,6 +121,17 @@
         }
     }
 
+    /** Sends a call that never reached its runner once more, on a new connection. */
+    void startAnew(Call call) {
+        Object owner = owners.get(call);
+        Subchannel to = owner instanceof Probe probe ? all.get(probe.worker()) : null;
+        if (to == null) {
+            call.broke();
+        } else {
+            to.startAnew(call);
+        }
+    }
+
     private void start(Object owner, String worker, Call call) {
         loop.runOnContext(v -> {
             calls.put(owner, call);
--- /dev/null
+++ b/src/test/java/nettlewick/decision/OutliersTest.java
@@ -0,0 +1,45 @@
+package nettlewick.decision;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.stream.IntStream;
+import nettlewick.decision.Dispatcher.Result;
+import nettlewick.decision.State.Worker;
+import org.junit.jupiter.api.Test;
+
+/** Who is left alone, how many at most, and how they come back. */
+class OutliersTest {
+    private static final long MS = 1_000_000;
+    private final List<Worker> fleet = IntStream.range(0, 6).mapToObj(i -> new Worker("w" + i)).toList();
+    private final Outliers outliers = new Outliers(() -> fleet);
+
+    private boolean out(int i, long now) {
+        return now < fleet.get(i).shunnedUntil;
+    }
+
+    @Test
+    void oneBreakIsTheConnectionsTwoInARowAreTheWorkers() {
+        outliers.judge(fleet.get(0), Result.BROKEN, MS, 0);
+        outliers.judge(fleet.get(0), Result.SERVED, MS, 0);
+        outliers.judge(fleet.get(0), Result.UNREACHABLE, MS, 0);
+        assertFalse(out(0, 1));
+        outliers.judge(fleet.get(0), Result.BROKEN, MS, 0);
+        assertTrue(out(0, 1));
+        outliers.judge(fleet.get(1), Result.UNREACHABLE, 200 * MS, 0);
+        assertTrue(out(1, 1), "cut off: it does not even refuse");
+    }
+
+    @Test
+    void halfTheFleetStaysInAndEachTimeOutIsLonger() {
+        fleet.forEach(w -> outliers.judge(w, Result.ERROR, MS, 0));
+        assertEquals(3, IntStream.range(0, 6).filter(i -> out(i, 1)).count());
+        outliers.judge(fleet.get(0), Result.ERROR, MS, 600 * MS);
+        assertTrue(out(0, 1500 * MS));
+        outliers.judge(fleet.get(0), Result.SERVED, MS, 1500 * MS);
+        assertFalse(out(0, 1500 * MS));
+        assertEquals(0, fleet.get(0).strikes);
+    }
+}
--- a/src/test/java/nettlewick/net/ConnectionModelTest.java
+++ b/src/test/java/nettlewick/net/ConnectionModelTest.java
@@ -48,6 +48,21 @@
         }
     }
 
+    /** Guards against jobs on kept connections that break, and against mistrust that never ends. */
+    @Property(seed = SEED, tries = 200)
+    void keptConnectionsAreLeftAloneWhileTheyBreakAndUsedAgainOnceTheyHold(
+            @ForAll @Size(max = 30) List<Boolean> uses) {
+        ReuseGauge gauge = new ReuseGauge();
+        assertEquals(true, gauge.trusts());
+        uses.forEach(gauge::used);
+        gauge.used(true);
+        assertEquals(false, gauge.trusts());
+        for (int i = 0; i < 40; i++) {
+            gauge.used(false);
+        }
+        assertEquals(true, gauge.trusts());
+    }
+
     /** The model: a list of links with the time each was put back. */
     @Property(seed = SEED, tries = 500)
     void theNewestIdleLinkIsTakenAndNoOldOne(@ForAll @Size(max = 40) List<@IntRange(max = 5) Integer> steps) {
--- a/src/test/java/nettlewick/net/NodeTest.java
+++ b/src/test/java/nettlewick/net/NodeTest.java
@@ -152,6 +152,20 @@
         assertTrue(world.seen.stream().filter(s -> s.contains(" v ")).count() > 1, world.seen.toString());
     }
 
+    /**
+     * Guards against resets of kept connections: a probe goes again by itself, and a job leaves them alone, so
+     * that a mark-submit is not given up for a connection that was dead before it was used.
+     */
+    @Test
+    void whileKeptConnectionsBreakJobsGoOutOnNewOnes() throws Exception {
+        world.resetKept = true;
+        int port = port("s-1", "s-2");
+        until(() -> world.resets.get() > 3);
+        for (int i = 0; i < 20; i++) {
+            assertTrue(send(port, job("/api", "m" + i, "mark-submit", "{}")).endsWith("r-m" + i));
+        }
+    }
+
     @Test
     void aMarkSubmitThatNeverRanGoesToAnotherRunner() throws Exception {
         int port = port("s-1", "s-2", "s-3");
--- a/src/test/java/nettlewick/net/StandIns.java
+++ b/src/test/java/nettlewick/net/StandIns.java
@@ -4,6 +4,7 @@
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerRequest;
@@ -12,6 +13,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
@@ -31,6 +33,10 @@
     public volatile int runTime = 30;
     /** What a runner does with a job in place of running it; null to run it. */
     public volatile Consumer<HttpServerRequest> instead;
+    /** Whether runners reset a connection at its second request, once that has come whole. */
+    volatile boolean resetKept;
+    final AtomicInteger resets = new AtomicInteger();
+    private final Set<HttpConnection> used = ConcurrentHashMap.newKeySet();
     private final Map<String, String> hosts = new LinkedHashMap<>();
     private final Map<String, Integer> ports = new ConcurrentHashMap<>();
     private final Map<String, HttpServer> servers = new ConcurrentHashMap<>();
@@ -107,6 +113,11 @@
     }
 
     private void serve(String name, HttpServerRequest request) {
+        if (resetKept && !used.add(request.connection())) {
+            resets.incrementAndGet();
+            request.connection().close();
+            return;
+        }
         if (request.method() == HttpMethod.GET) {
             request.response().end("depth=0,concurrent=0,x0=4,x1=4");
             return;
