--- a/src/main/java/nettlewick/decision/Logic.java
+++ b/src/main/java/nettlewick/decision/Logic.java
@@ -73,6 +73,7 @@
     private final List<Tenure> tenures = new ArrayList<>();
     private final List<Pool> pools = new ArrayList<>();
     private List<Worker> watched = List.of();
+    private final SharedLoads loads;
     private final Outliers outliers = new Outliers(() -> pools.get(0).ready);
     private final Mean[] pace;
     /** By kind, from -1 on: the most that a job bound to it is worth. */
@@ -82,6 +83,7 @@
         this.settings = settings;
         random = new SplittableRandom(seed);
         epoch = random.nextInt();
+        loads = new SharedLoads(settings.fleetSize() - 1);
         pace = new Mean[settings.classes().size()];
         bound = new double[settings.kinds().size() + 1];
         for (int i = 0; i < pace.length; i++) {
@@ -137,6 +139,7 @@
             w.ready = entry.life() == Life.READY;
         }
         pools.forEach(this::fill);
+        loads.list(pools.get(0).ready);
         watched = pools.stream().flatMap(pool -> pool.members.stream()).distinct().toList();
     }
 
@@ -375,6 +378,7 @@
                 double rank = room >= 0 ? room + (w.near ? 1000 : 500) : room + (w.near ? 0.5 : 0);
                 // Danger: a full worker answers fast and looks less busy than one with a queue. It is last.
                 rank -= wasFull(job, w) ? 2000 : 0;
+                rank -= room >= 0 && outliers.slow(w) ? 300 : 0;
                 if (best == null || rank > most) {
                     best = w;
                     most = rank;
@@ -427,7 +431,7 @@
      * Danger: all herd onto one roomy worker. What others leave is from reports; own sends count exactly.
      */
     private double spare(Job job, Worker w) {
-        double room = w.left - w.outSlots;
+        double room = left(w) - w.outSlots;
         room = wasFull(job, w) ? Math.min(0, room) : room;
         room -= job.kind.kind() < 0 && w.kind >= 0 && bound[w.kind + 1] > job.kind.worth() ? RESERVE : 0;
         return (job.arrival.memory() > w.memory ? Math.min(room, 0) : room) - job.arrival.slots();
@@ -488,6 +492,9 @@
             a.over = true;
             a.neverRan = e.result().neverRan;
             a.worker.ended(a);
+            if (e.result() == Result.SERVED) {
+                outliers.ran(a, now);
+            }
         }
         if (e.result() == Result.SERVED && !job.over) {
             served += job.cost;
@@ -531,6 +538,10 @@
         Worker w = workers.get(e.worker());
         if (w != null) {
             outliers.alive(w, now);
+            Job job = jobs.get(e.id());
+            if (job != null && e.share() <= 0 && e.attempt() >= 0 && e.attempt() < job.attempts.size()) {
+                job.attempts.get(e.attempt()).startedAt = now;
+            }
         }
     }
 
@@ -706,6 +717,12 @@
         }
         probe();
         resend();
+        byte[] note = hasPeers() ? loads.news(now) : null;
+        for (int rank = 0; note != null && rank < settings.fleetSize(); rank++) {
+            if (rank != settings.rank()) {
+                act(new TellPeer(rank, note));
+            }
+        }
     }
 
     // The slice: D2R2
@@ -727,7 +744,7 @@
         for (Worker w : watched) {
             if (w.ready && now - w.answeredAt <= DELTA) {
                 fresh = true;
-                free |= w.left - w.outSlots >= 1;
+                free |= left(w) - w.outSlots >= 1;
             }
         }
         credit();
@@ -772,6 +789,10 @@
     private final Map<Integer, Peer> peers = new LinkedHashMap<>();
     private int reach = 2;
 
+    private double left(Worker w) {
+        return loads.left(w, pools.get(w.kind + 1).slots, now);
+    }
+
     /** For tests: the slice, and what was debited from it, or inherited, and is not settled yet. */
     double slice() {
         return slice;
@@ -868,8 +889,8 @@
     @Override
     void hear(int rank, byte[] data) {
         PeerNote note = PeerNote.of(data);
-        if (note == null || rank < 0 || rank >= settings.fleetSize() || rank == settings.rank()
-                || !hasPeers()) {
+        if (rank < 0 || rank >= settings.fleetSize() || rank == settings.rank() || !hasPeers()
+                || loads.hear(rank, data, now) || note == null) {
             return;
         }
         Peer p = peers.computeIfAbsent(rank, r -> new Peer());
--- a/src/main/java/nettlewick/decision/Outliers.java
+++ b/src/main/java/nettlewick/decision/Outliers.java
@@ -4,7 +4,9 @@
 import java.util.function.Supplier;
 import nettlewick.decision.Dispatcher.Repeat;
 import nettlewick.decision.Dispatcher.Result;
+import nettlewick.decision.State.Attempt;
 import nettlewick.decision.State.Job;
+import nettlewick.decision.State.Mean;
 import nettlewick.decision.State.Worker;
 
 /** Outlier detection: which workers are left alone for how they end what is sent, and their way back. */
@@ -18,7 +20,13 @@
     /** Part of the ready workers that may be left alone at once: beyond it the fault is elsewhere. */
     private static final double MOST = 0.5;
 
+    /** A worker is slow if its jobs run so many times as long against their hints as the fleet's. */
+    private static final double SLOW = 2;
+    /** Jobs from which on that is believed. */
+    private static final int BELIEVED = 3;
+
     private final Supplier<List<Worker>> ready;
+    private final Mean fleetDrag = new Mean(100);
 
     Outliers(Supplier<List<Worker>> ready) {
         this.ready = ready;
@@ -62,6 +70,20 @@
         }
     }
 
+    /** An attempt was served: compares how long it ran with its hint. */
+    void ran(Attempt a, long now) {
+        if (a.startedAt != State.NEVER && a.job.arrival.hint() > 0 && now > a.startedAt) {
+            double drag = Math.log((double) (now - a.startedAt) / a.job.arrival.hint());
+            a.worker.drag.add(drag);
+            fleetDrag.add(drag);
+        }
+    }
+
+    /** Slowness against peers. Danger: a slowed worker with room takes jobs that will be late. */
+    boolean slow(Worker w) {
+        return w.drag.count >= BELIEVED && w.drag.value - fleetDrag.value > Math.log(SLOW);
+    }
+
     /** Danger: a worker whose time is over may be ill still. One harmless job is its probe, then more. */
     static boolean trusts(Worker w, Job job, long now) {
         return now >= w.shunnedUntil
--- a/src/main/java/nettlewick/decision/State.java
+++ b/src/main/java/nettlewick/decision/State.java
@@ -39,6 +39,8 @@
         private final double[] outBefore = new double[16];
         long signAt = NEVER;
         int strikes;
+        /** How much longer than hinted its jobs run: the logarithm's mean over the last few. */
+        final Mean drag = new Mean(6);
         /** Connections to it that broke in a row. */
         int failures;
         long shunnedUntil = NEVER;
@@ -57,6 +59,7 @@
             shunnedUntil = NEVER;
             strikes = 0;
             failures = 0;
+            drag.count = 0;
         }
 
         /** Takes a report over in slots, whichever values this site's reports hold. */
@@ -107,6 +110,8 @@
         boolean over;
         boolean neverRan;
         boolean rescued;
+        /** When the worker said that the job runs. */
+        long startedAt = NEVER;
         /** Room was seen when it was sent. */
         boolean roomy;
 
@@ -279,13 +284,22 @@
         }
     }
 
-    /** A mean over all at first, over about the last fifty later. */
+    /** A mean over all at first, over about the last fifty, or another number, later. */
     static final class Mean {
+        private final int most;
         double value;
-        private double count;
+        double count;
+
+        Mean() {
+            this(50);
+        }
+
+        Mean(int most) {
+            this.most = most;
+        }
 
         void add(double x) {
-            count = Math.min(count + 1, 50);
+            count = Math.min(count + 1, most);
             value += (x - value) / count;
         }
     }
--- a/src/main/java/nettlewick/net/PeerSocket.java
+++ b/src/main/java/nettlewick/net/PeerSocket.java
@@ -15,6 +15,7 @@
     private static final int MOST = 256;
 
     private Config config;
+    private boolean bound;
     private final DatagramSocket socket;
     private final Map<String, Integer> ranks = new HashMap<>();
 
@@ -49,12 +50,14 @@
                 heard.accept(rank, packet.data().getBytes());
             }
         });
-        return socket.listen(config.peerListen().port(), config.peerListen().hostAddress()).mapEmpty();
+        return socket.listen(config.peerListen().port(), config.peerListen().hostAddress())
+                .onSuccess(s -> bound = true).mapEmpty();
     }
 
     void send(int rank, byte[] data) {
-        // Danger: one longer datagram voids the whole run.
-        if (rank >= 0 && rank < config.peers().size() && rank != config.settings().rank()
+        // Danger: one longer datagram voids the whole run. One sent before the socket is bound binds it to
+        // another port: peers would take it for a stranger's, and this dispatcher could not listen any more.
+        if (bound && rank >= 0 && rank < config.peers().size() && rank != config.settings().rank()
                 && data.length <= MOST) {
             SocketAddress to = config.peers().get(rank);
             socket.send(Buffer.buffer(data), to.port(), to.hostAddress());
--- a/src/test/java/nettlewick/sse/EdgeFrontTest.java
+++ b/src/test/java/nettlewick/sse/EdgeFrontTest.java
@@ -209,7 +209,8 @@
             int runs = world.runs.containsKey("r" + i) ? world.runs.get("r" + i).get() : 0;
             assertTrue(runs <= 1 || !all.get(i).jobClass().equals("mark-submit"), "r" + i + " ran " + runs);
         }
-        assertTrue(all.stream().filter(w -> w.last().name().equals("result")).count() > 100);
+        assertTrue(all.stream().filter(w -> w.last().name().equals("result")).count() > 100,
+                all.stream().map(w -> w.last().data()).toList().toString());
     }
 
     @Test
