--- a/src/main/java/nettlewick/decision/Outliers.java
+++ b/src/main/java/nettlewick/decision/Outliers.java
@@ -13,8 +13,9 @@
 final class Outliers {
     /** First time for which a failing worker is left alone; it doubles up to eight times this. */
     private static final long SHUN = 500_000_000;
-    /** Breaks in a row that count as the worker's own. */
+    /** Breaks in a row that count as the worker's own: at least so many, and too many for chance. */
     private static final int FAILURES = 2;
+    private static final double CHANCE = 0.005;
     /** A worker that refuses connections does so at once; one that is cut off takes longer than this. */
     private static final long REFUSED = 100_000_000;
     /** Part of the ready workers that may be left alone at once: beyond it the fault is elsewhere. */
@@ -27,9 +28,12 @@
 
     private final Supplier<List<Worker>> ready;
     private final Mean fleetDrag = new Mean(100);
+    /** Share of connections that break, over the whole fleet. */
+    private final Mean breaks = new Mean(100);
 
     Outliers(Supplier<List<Worker>> ready) {
         this.ready = ready;
+        breaks.count = 50;
     }
 
     /** Takes over how an attempt, or a probe that failed, ended at this worker. */
@@ -37,6 +41,7 @@
         switch (result) {
             case SERVED -> {
                 alive(w, now);
+                breaks.add(0);
                 w.shunnedUntil = Math.min(w.shunnedUntil, now);
             }
             case FULL -> {
@@ -47,7 +52,8 @@
             case ERROR, TIMEOUT -> shun(w, now);
             // Danger: connections break on the way, one here and one there, at workers that are well.
             case UNREACHABLE, BROKEN -> {
-                if (++w.failures >= FAILURES || result == Result.UNREACHABLE && latency > REFUSED) {
+                breaks.add(1);
+                if (++w.failures >= inARow() || result == Result.UNREACHABLE && latency > REFUSED) {
                     shun(w, now);
                 }
             }
@@ -55,6 +61,12 @@
         }
     }
 
+    /** Danger: where a tenth of all connections break, two in a row soon befall every worker. */
+    private double inARow() {
+        double share = Math.min(0.5, Math.max(0.001, breaks.value));
+        return Math.max(FAILURES, Math.ceil(Math.log(CHANCE) / Math.log(share)));
+    }
+
     /** A sign of life that only a worker at work gives. */
     void alive(Worker w, long now) {
         w.signAt = now;
--- a/src/test/java/nettlewick/decision/OutliersTest.java
+++ b/src/test/java/nettlewick/decision/OutliersTest.java
@@ -32,6 +32,20 @@
         assertTrue(out(1, 1), "cut off: it does not even refuse");
     }
 
+    @Test
+    void whereManyConnectionsBreakTwoInARowAreChance() {
+        for (int i = 0; i < 60; i++) {
+            outliers.judge(fleet.get(1 + i % 5), i % 6 == 0 ? Result.BROKEN : Result.SERVED, MS, 0);
+        }
+        outliers.judge(fleet.get(0), Result.BROKEN, MS, 0);
+        outliers.judge(fleet.get(0), Result.BROKEN, MS, 0);
+        assertFalse(out(0, 1));
+        for (int i = 0; i < 3; i++) {
+            outliers.judge(fleet.get(0), Result.BROKEN, MS, 0);
+        }
+        assertTrue(out(0, 1));
+    }
+
     @Test
     void halfTheFleetStaysInAndEachTimeOutIsLonger() {
         fleet.forEach(w -> outliers.judge(w, Result.ERROR, MS, 0));
