--- a/src/main/java/nettlewick/net/WarmUp.java
+++ b/src/main/java/nettlewick/net/WarmUp.java
@@ -17,8 +17,8 @@
  * them: the own health page is asked for, and a throw-away instance of the module decides on made-up jobs.
  */
 final class WarmUp {
-    private static final int REQUESTS = 120;
-    private static final int JOBS = 200;
+    private static final int REQUESTS = 20;
+    private static final int JOBS = 60;
     private static final int WORKERS = 12;
     private static final long STEP = 5_000_000;
 
