An attempt that was overtaken or stands still goes out again; ids are taken once; descriptors add up

Line at fault: Logic.watch, which measures silence since any sign of the runner, so that one dead connection among live ones is never noticed and its job waits for its deadline. Found by reading: Core took an id again once its request was over, so that a copied id could run a mark-submit twice; the last 10,000 ids are remembered. Subchannels took half of all descriptors and fronts a third, which with 45 of the program's own is over 256; sim runners get what a third and a reserve of 64 leave.

--- a/src/main/java/nettlewick/core/Core.java
+++ b/src/main/java/nettlewick/core/Core.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
@@ -33,6 +34,8 @@
     private static final double RESTART = 1000;
     private static final double NANOS = 1e6;
     private static final int BATCH = 512;
+    /** Ids remembered of requests that are over: some minutes of traffic. */
+    private static final int PAST_MOST = 10_000;
 
     private final Clock clock;
     private final Dispatcher module;
@@ -42,6 +45,8 @@
     private final BlockingQueue<Runnable> inbox = new LinkedBlockingQueue<>();
     private final PriorityQueue<Due> timers = new PriorityQueue<>();
     private final Map<String, Open> open = new HashMap<>();
+    /** Ids of requests that are over, the oldest first. */
+    private final Set<String> past = new LinkedHashSet<>();
     private final Set<String> ready = new HashSet<>();
     private final Set<String> known = new HashSet<>();
     private List<Event> batch = new ArrayList<>();
@@ -249,9 +254,10 @@
     // Events
 
     private void arrive(Request r) {
-        if (open.containsKey(r.id())) {
-            // Danger: the module takes an id once; a second request under it would never be answered.
-            r.caller().failed("the id of a request that is still open");
+        if (open.containsKey(r.id()) || past.contains(r.id())) {
+            // Danger: the module takes an id once; a second request under it would never be answered. Nor may
+            // one under the id of a request that has just ended run: a mark-submit would run twice.
+            r.caller().failed("the id of a request that was taken before");
             return;
         }
         if (unanswered >= maxOpen) {
@@ -330,8 +336,11 @@
     }
 
     private void forget(Open o) {
-        if (o.answered && !o.out()) {
-            open.remove(o.request.id(), o);
+        if (o.answered && !o.out() && open.remove(o.request.id(), o)) {
+            past.add(o.request.id());
+            if (past.size() > PAST_MOST) {
+                past.remove(past.iterator().next());
+            }
         }
     }
 
--- a/src/main/java/nettlewick/decision/Logic.java
+++ b/src/main/java/nettlewick/decision/Logic.java
@@ -187,7 +187,7 @@
         Job job = new Job(a, settings.classes().get(index), index,
                 tenants.getOrDefault(a.tenant(), tenures.get(0)), now);
         meanCost.add(job.cost);
-        meanDensity.add(density(job));
+        meanDensity.add(job.density());
         arrivals++;
         probeTokens += PROBES_PER_ARRIVAL;
         jobs.put(a.id(), job);
@@ -317,13 +317,8 @@
         return job.kind.aim() + job.kind.stretch() * work(job);
     }
 
-    /** Worth of a slot that the job takes. */
-    private static double density(Job job) {
-        return job.kind.worth() / Math.max(job.arrival.slots(), 1e-3);
-    }
-
     private boolean worthy(Job job) {
-        return density(job) > WORTHY * meanDensity.value;
+        return job.density() > WORTHY * meanDensity.value;
     }
 
     private double work(Job job) {
@@ -539,8 +534,8 @@
         if (w != null) {
             outliers.alive(w, now);
             Job job = jobs.get(e.id());
-            if (job != null && e.share() <= 0 && e.attempt() >= 0 && e.attempt() < job.attempts.size()) {
-                job.attempts.get(e.attempt()).startedAt = now;
+            if (job != null && e.attempt() >= 0 && e.attempt() < job.attempts.size()) {
+                Outliers.sign(job.attempts.get(e.attempt()), e.share() <= 0, now);
             }
         }
     }
@@ -567,6 +562,8 @@
     /** Danger: a hung worker takes work and keeps reporting room. Silence against expectation unmasks it. */
     private void watch() {
         for (Worker w : workers.values()) {
+            List.copyOf(w.out).stream().filter(a -> Outliers.lost(a, now, settings.progress()))
+                    .forEach(this::rescue);
             if (w.out.isEmpty() || now < w.shunnedUntil) {
                 continue;
             }
--- a/src/main/java/nettlewick/decision/Outliers.java
+++ b/src/main/java/nettlewick/decision/Outliers.java
@@ -21,6 +21,10 @@
     /** Part of the ready workers that may be left alone at once: beyond it the fault is elsewhere. */
     private static final double MOST = 0.5;
 
+    /** An attempt sent so much later that started first: more than sends can change their order by. */
+    private static final long OVERTAKEN = 50_000_000;
+    /** Progress notes that may fail to come before an attempt counts as lost. */
+    private static final int SIGNS = 3;
     /** A worker is slow if its jobs run so many times as long against their hints as the fleet's. */
     private static final double SLOW = 2;
     /** Jobs from which on that is believed. */
@@ -82,6 +86,25 @@
         }
     }
 
+    /** An attempt shows that it runs. */
+    static void sign(Attempt a, boolean start, long now) {
+        a.signAt = now;
+        if (start) {
+            a.startedAt = now;
+            a.worker.startedSent = Math.max(a.worker.startedSent, a.sentAt);
+        }
+    }
+
+    /**
+     * Whether an attempt is lost though its worker is well. Danger: one connection can fall silent among
+     * others that do not. Workers start what waits in order, so one overtaken by a later one never came or is
+     * dead; one that runs shows it every {@code progress}.
+     */
+    static boolean lost(Attempt a, long now, long progress) {
+        return a.startedAt == State.NEVER ? a.worker.startedSent - a.sentAt > OVERTAKEN
+                : progress > 0 && now - a.signAt > SIGNS * progress;
+    }
+
     /** An attempt was served: compares how long it ran with its hint. */
     void ran(Attempt a, long now) {
         if (a.startedAt != State.NEVER && a.job.arrival.hint() > 0 && now > a.startedAt) {
--- a/src/main/java/nettlewick/decision/State.java
+++ b/src/main/java/nettlewick/decision/State.java
@@ -39,6 +39,8 @@
         private final double[] outBefore = new double[16];
         long signAt = NEVER;
         int strikes;
+        /** When the latest of the attempts that have started was sent. */
+        long startedSent = NEVER;
         /** How much longer than hinted its jobs run: the logarithm's mean over the last few. */
         final Mean drag = new Mean(6);
         /** Connections to it that broke in a row. */
@@ -59,6 +61,7 @@
             shunnedUntil = NEVER;
             strikes = 0;
             failures = 0;
+            startedSent = NEVER;
             drag.count = 0;
         }
 
@@ -112,6 +115,8 @@
         boolean rescued;
         /** When the worker said that the job runs. */
         long startedAt = NEVER;
+        /** Its last sign of life. */
+        long signAt = NEVER;
         /** Room was seen when it was sent. */
         boolean roomy;
 
@@ -146,6 +151,11 @@
             cost = arrival.slots() * (arrival.hint() > 0 ? arrival.hint() / 1e9 : 1);
         }
 
+        /** Worth of a slot that the job takes. */
+        double density() {
+            return kind.worth() / Math.max(arrival.slots(), 1e-3);
+        }
+
         int out() {
             int n = 0;
             for (Attempt a : attempts) {
--- a/src/main/java/nettlewick/net/Node.java
+++ b/src/main/java/nettlewick/net/Node.java
@@ -35,7 +35,7 @@
     private static final long LAST_ANSWERED = 250;
     private static final long LOOK = 50;
     /** One descriptor in so many is for clients. */
-    private static final int CLIENTS_PART = 3;
+    static final int CLIENTS_PART = 3;
     /** Connections accepted beyond those a front keeps: the front chooses which of them stays. */
     private static final int SPARE = 8;
 
--- a/src/main/java/nettlewick/net/Subchannels.java
+++ b/src/main/java/nettlewick/net/Subchannels.java
@@ -16,8 +16,8 @@
 
 /** All sim runners of the resolver's list, and the calls to them. Lives on the event loop. */
 final class Subchannels implements Transport {
-    /** Part of the sockets allowed that may go to sim runners; the rest is for clients. */
-    private static final double SOCKETS_PART = 0.5;
+    /** Descriptors for neither clients nor sim runners: the jars, the listeners, the watch, selectors. */
+    private static final int RESERVE = 64;
     private static final long SWEEP = 250;
 
     private final Vertx vertx;
@@ -87,9 +87,14 @@
         open += more;
     }
 
+    /** Connections to sim runners where so many descriptors are allowed and a third is for clients. */
+    static int mostOpen(int sockets) {
+        return Math.max(sockets / 8, sockets - sockets / Node.CLIENTS_PART - RESERVE);
+    }
+
     /** Whether one more connection may be opened; the longest idle one anywhere makes way for it. */
     boolean room() {
-        if (open < config.sockets() * SOCKETS_PART) {
+        if (open < mostOpen(config.sockets())) {
             return true;
         }
         for (Subchannel s : all.values()) {
--- a/src/test/java/nettlewick/core/CoreTest.java
+++ b/src/test/java/nettlewick/core/CoreTest.java
@@ -163,6 +163,21 @@
         assertTrue(events.contains(new Abandoned("a")));
     }
 
+    /** Guards against one client's id in another's hands: the first is left alone, and nothing runs twice. */
+    @Test
+    void anIdIsTakenOnceWhileItsRequestIsOpenAndAfter() throws InterruptedException {
+        onArrival(new Dispatch("a", "w", 0));
+        request("a", 1000);
+        at(0);
+        request("a", 1000);
+        at(1);
+        core.ended(sent.get(0), new Outcome(Result.SERVED, new byte[0], null));
+        at(2);
+        request("a", 1000);
+        at(3);
+        assertEquals(List.of("send a0", "failed a", "served a", "failed a"), out);
+    }
+
     /** Guards against a kill that finds unanswered what was taken late: before it, every answer has to be out. */
     @Test
     void whatCameLateIsEndedBeforeTheKillAndWhatCameBeforeGoesOn() throws InterruptedException {
--- a/src/test/java/nettlewick/decision/OutliersTest.java
+++ b/src/test/java/nettlewick/decision/OutliersTest.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.stream.IntStream;
 import nettlewick.decision.Dispatcher.Result;
+import nettlewick.decision.State.Attempt;
 import nettlewick.decision.State.Worker;
 import org.junit.jupiter.api.Test;
 
@@ -46,6 +47,20 @@
         assertTrue(out(0, 1));
     }
 
+    /** Guards against a job that waits for its deadline on a connection that fell silent among live ones. */
+    @Test
+    void anAttemptThatWasOvertakenOrStandsStillIsLost() {
+        Worker w = fleet.get(0);
+        Attempt first = new Attempt(null, w, 0, 0);
+        Attempt second = new Attempt(null, w, 0, 60 * MS);
+        assertFalse(Outliers.lost(first, 500 * MS, 1000 * MS));
+        Outliers.sign(second, true, 500 * MS);
+        assertTrue(Outliers.lost(first, 500 * MS, 1000 * MS));
+        assertFalse(Outliers.lost(second, 3500 * MS, 1000 * MS));
+        assertTrue(Outliers.lost(second, 3501 * MS, 1000 * MS));
+        assertFalse(Outliers.lost(second, 9000 * MS, 0), "where no progress is told, silence tells nothing");
+    }
+
     @Test
     void halfTheFleetStaysInAndEachTimeOutIsLonger() {
         fleet.forEach(w -> outliers.judge(w, Result.ERROR, MS, 0));
--- a/src/test/java/nettlewick/net/NodeTest.java
+++ b/src/test/java/nettlewick/net/NodeTest.java
@@ -298,6 +298,14 @@
         assertThrows(Fields.Bad.class, () -> Config.reload(environment));
     }
 
+    @Test
+    void descriptorsAreSharedOutBelowTheirLimit() {
+        for (int sockets : new int[] {256, 384, 1024}) {
+            int left = sockets - sockets / 3 - Subchannels.mostOpen(sockets);
+            assertTrue(left >= 64 && left < 70, sockets + " leave " + left);
+        }
+    }
+
     @Test
     void oneBadEntryDoesNotCostTheOthers() throws Exception {
         world.addRunner("s-1");
