A second copy goes out only where room is seen; overtaken means by an attempt sent 0.5 s later

Guess: the rescue of overtaken attempts of the commit before feeds the queues. Cause: far new connections and throttled starts let a later attempt overtake one 50 ms older, and Logic.again gave a second copy a full runner. Ruled out: breaks (2 resets) and memory (63 MB).

--- a/src/main/java/nettlewick/decision/Logic.java
+++ b/src/main/java/nettlewick/decision/Logic.java
@@ -285,8 +285,8 @@
         }
         boolean late = job.kind.lateWorth() <= 0 && now > job.arrivedAt + patience(job);
         Worker w = late || !mayRepeat(job) ? null : choose(job);
-        // Danger: attempts at full workers multiply under overload and keep none the less busy.
-        w = !roomy && job.attempts.size() > 1 && !worthy(job) ? null : w;
+        // Danger: attempts at full workers, and second copies above all, multiply under overload.
+        w = !roomy && (job.out() > 0 || job.attempts.size() > 1 && !worthy(job)) ? null : w;
         if (w != null) {
             send(job, w);
         } else if (job.out() == 0) {
--- a/src/main/java/nettlewick/decision/Outliers.java
+++ b/src/main/java/nettlewick/decision/Outliers.java
@@ -22,7 +22,7 @@
     private static final double MOST = 0.5;
 
     /** An attempt sent so much later that started first: more than sends can change their order by. */
-    private static final long OVERTAKEN = 50_000_000;
+    private static final long OVERTAKEN = 500_000_000;
     /** Progress notes that may fail to come before an attempt counts as lost. */
     private static final int SIGNS = 3;
     /** A worker is slow if its jobs run so many times as long against their hints as the fleet's. */
