--- a/src/test/java/nettlewick/decision/LogicTest.java
+++ b/src/test/java/nettlewick/decision/LogicTest.java
@@ -11,6 +11,8 @@
 import java.util.Set;
 import nettlewick.decision.Dispatcher.*;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Each failure found, as small as it can be told. */
 class LogicTest {
@@ -46,6 +48,22 @@
         assertTrue(used.size() >= 3, "four jobs herd onto " + used);
     }
 
+    /** Guards against second copies that feed the queues of a full fleet: a silent job's needs room elsewhere. */
+    @ParameterizedTest
+    @ValueSource(ints = {0, 2})
+    void aSecondCopyGoesOutOnlyWhereRoomIsSeen(int free) {
+        at(1, Samples.workers(1));
+        answers(3, 0, 1);
+        at(now, new Arrival("lost", "read", "red", 5 * Samples.SECOND, 1, 0, 300 * Samples.MS, null, false));
+        now += 510 * Samples.MS;
+        Dispatch later = send("read");
+        at(now, Samples.workers(4));
+        answers(free, free == 0 ? 5 : 0, 4);
+        at(now, new Progress(later.id(), 0, "w0", 0));
+        List<Dispatch> again = Samples.only(Dispatch.class, at(now + 1, new Timer("beat")));
+        assertEquals(free > 0, again.stream().anyMatch(d -> d.id().equals("lost")));
+    }
+
     @Test
     void theOwnZoneComesFirstWhileItHasRoom() {
         at(1, Samples.workers(8));
