--- /dev/null
+++ b/src/main/java/nettlewick/admin/AdminFront.java
@@ -0,0 +1,115 @@
+package nettlewick.admin;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import io.vertx.core.file.FileSystemOptions;
+import io.vertx.core.http.HttpConnection;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.HttpServerResponse;
+import io.vertx.core.net.SocketAddress;
+import java.util.LinkedHashSet;
+import java.util.Set;
+
+/**
+ * The operators' way in: one call a connection. Has an event loop and a listener of its own, so that neither
+ * a crowd of clients nor work for them holds an answer up. Holds no state of the dispatcher.
+ */
+public final class AdminFront {
+    /** Callers held at once. Danger: silent ones would use up the descriptors; the oldest makes way. */
+    public static final int CALLERS_MOST = 24;
+    /** Time for one call, from connecting to the close. */
+    private static final long PATIENCE = 4500;
+    private static final int BODY_MOST = 4096;
+    private static final int OK = 200;
+
+    private final Operations operations;
+    private final SocketAddress address;
+    private final Vertx vertx;
+    private final Set<HttpConnection> callers = new LinkedHashSet<>();
+
+    public AdminFront(SocketAddress address, Operations operations) {
+        this.address = address;
+        this.operations = operations;
+        vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1)
+                .setInternalBlockingPoolSize(1).setFileSystemOptions(new FileSystemOptions()
+                        .setFileCachingEnabled(false).setClassPathResolvingEnabled(false)));
+    }
+
+    /** Listens; the port that is held comes back. */
+    public Future<Integer> listen() {
+        HttpServer server = vertx.createHttpServer(new HttpServerOptions().setTcpNoDelay(true)
+                .setHttp2ClearTextEnabled(false).setMaxHeaderSize(BODY_MOST).setAcceptBacklog(128));
+        server.exceptionHandler(e -> { });
+        server.connectionHandler(this::opened);
+        server.requestHandler(this::read);
+        return server.listen(address).map(HttpServer::actualPort);
+    }
+
+    private void opened(HttpConnection caller) {
+        caller.exceptionHandler(e -> { });
+        if (callers.size() >= CALLERS_MOST) {
+            HttpConnection oldest = callers.iterator().next();
+            callers.remove(oldest);
+            oldest.close();
+        }
+        callers.add(caller);
+        long timer = vertx.setTimer(PATIENCE, id -> caller.close());
+        caller.closeHandler(v -> {
+            vertx.cancelTimer(timer);
+            callers.remove(caller);
+        });
+    }
+
+    /** Waits for the call to be whole: half a call must change nothing. */
+    private void read(HttpServerRequest request) {
+        int[] length = new int[1];
+        request.exceptionHandler(e -> { });
+        request.handler(part -> length[0] += part.length());
+        request.endHandler(v -> {
+            if (length[0] > BODY_MOST) {
+                answer(request, 413, "a call needs no body\n");
+            } else {
+                call(request);
+            }
+        });
+    }
+
+    private void call(HttpServerRequest request) {
+        String path = String.valueOf(request.path());
+        HttpMethod wanted = path.equals("/-/ready") || path.equals("/-/metrics") ? HttpMethod.GET
+                : path.equals("/-/drain") || path.equals("/-/resume") ? HttpMethod.POST : null;
+        if (wanted == null) {
+            answer(request, 404, "no such call\n");
+        } else if (!wanted.equals(request.method())) {
+            request.response().putHeader("Allow", wanted.name());
+            answer(request, 405, "this call comes by " + wanted + "\n");
+        } else {
+            switch (path) {
+                case "/-/ready" -> yes(request, operations.ready(), 503, "takes no clients\n");
+                case "/-/drain" -> yes(request, operations.drain(), 409, "ends anyway\n");
+                case "/-/resume" -> yes(request, operations.resume(), 409, "ends\n");
+                default -> answer(request, OK, FiguresText.of(operations.figures()));
+            }
+        }
+    }
+
+    private static void yes(HttpServerRequest request, boolean yes, int otherwise, String why) {
+        answer(request, yes ? OK : otherwise, yes ? "yes\n" : why);
+    }
+
+    private static void answer(HttpServerRequest request, int status, String text) {
+        HttpServerResponse response = request.response();
+        if (!response.ended() && !response.closed()) {
+            response.putHeader("Connection", "close").putHeader("Content-Type", "text/plain; charset=utf-8")
+                    .setStatusCode(status).end(text).onComplete(r -> request.connection().close());
+        }
+    }
+
+    public Future<Void> close() {
+        return vertx.close();
+    }
+}
--- a/src/main/java/nettlewick/core/Core.java
+++ b/src/main/java/nettlewick/core/Core.java
@@ -34,6 +34,8 @@
     private static final double RESTART = 1000;
     private static final double NANOS = 1e6;
     private static final int BATCH = 512;
+    /** How often the workers left out are counted. */
+    private static final double COUNT = 50;
     /** Ids remembered of requests that are over: some minutes of traffic. */
     private static final int PAST_MOST = 10_000;
 
@@ -41,6 +43,7 @@
     private final Dispatcher module;
     private final Settings settings;
     private final Transport transport;
+    private final Figures figures;
     private int maxOpen;
     private final BlockingQueue<Runnable> inbox = new LinkedBlockingQueue<>();
     private final PriorityQueue<Due> timers = new PriorityQueue<>();
@@ -51,6 +54,7 @@
     private final Set<String> known = new HashSet<>();
     private List<Event> batch = new ArrayList<>();
     private double now;
+    private double countedAt;
     private long timerNumber;
     private int unanswered;
     private volatile boolean stopped;
@@ -89,12 +93,18 @@
         this.settings = settings;
         this.module = module;
         this.maxOpen = maxOpen;
+        figures = new Figures(settings.classes().stream().map(JobClass::name).toList());
         this.transport = transport;
         this.now = clock.now();
     }
 
     // Ways in, from any thread
 
+    /** What operators count. */
+    public Figures figures() {
+        return figures;
+    }
+
     /** Takes a request; its caller gets exactly one final answer. */
     public void submit(Request request) {
         inbox.add(() -> arrive(request));
@@ -217,6 +227,11 @@
         while (!batch.isEmpty()) {
             decide();
         }
+        if (now - countedAt >= COUNT) {
+            countedAt = now;
+            Rotation rotation = module.rotation();
+            figures.list(rotation.listed(), rotation.avoided());
+        }
     }
 
     /** Danger: a fault in one task must not end the thread that all requests depend on. */
--- /dev/null
+++ b/src/main/java/nettlewick/decision/ColdStart.java
@@ -0,0 +1,36 @@
+package nettlewick.decision;
+
+import nettlewick.decision.Dispatcher.Rules;
+import nettlewick.decision.State.Pool;
+import nettlewick.decision.State.Worker;
+
+/** How much a worker that just started is sent, so that all dispatchers together do not push it over. */
+final class ColdStart {
+    /** Part of a cold worker's allowed load that all dispatchers together aim at. */
+    private static final double PART = 0.4;
+
+    private final Rules rules;
+
+    ColdStart(Rules rules) {
+        this.rules = rules;
+    }
+
+    boolean cold(Worker w, long now) {
+        return w.entry.startedAt() > 0 && now - w.entry.startedAt() < rules.cold();
+    }
+
+    /** Whether one more job may go there; {@code most} bounds the credit that piles up. */
+    boolean allows(Worker w, Pool pool, double most, long now) {
+        if (!cold(w, now)) {
+            return true;
+        }
+        // Danger: all dispatchers find a new worker empty and push it over. Each alone sends it no more than
+        // its own part of what warm peers carry, ramped by age; credit never piles up into a burst.
+        double age = (double) Math.max(0, now - w.entry.startedAt()) / rules.cold();
+        double ramp = rules.coldShare() + (1 - rules.coldShare()) * age;
+        double rate = PART * rules.overloadFactor() * pool.carried * ramp;
+        w.coldTokens = Math.min(w.coldTokens + rate * (now - w.coldAt) / 1e9, most);
+        w.coldAt = now;
+        return w.coldTokens > 0;
+    }
+}
--- a/src/main/java/nettlewick/decision/Dispatcher.java
+++ b/src/main/java/nettlewick/decision/Dispatcher.java
@@ -21,6 +21,15 @@
     /** Decides on one batch of events, all of which happen at {@code now}. */
     List<Action> handle(long now, List<Event> events);
 
+    /** How many workers are on the list, and how many of them get no job now. */
+    default Rotation rotation() {
+        return new Rotation(0, 0);
+    }
+
+    /** Workers on the list, and those of them that are left out, by hand or by choice. */
+    record Rotation(int listed, int avoided) {
+    }
+
     /** Makes one instance of the decision module; instances share nothing. */
     static Dispatcher create(Settings settings, long seed) {
         return new Logic(settings, seed);
--- a/src/main/java/nettlewick/decision/EventLoop.java
+++ b/src/main/java/nettlewick/decision/EventLoop.java
@@ -7,6 +7,7 @@
 abstract class EventLoop implements Dispatcher {
     /** The clock of the batch; it never goes back, whatever the host says. */
     protected long now;
+    private final Roll roll = new Roll();
     private List<Action> actions = new ArrayList<>();
     private boolean started;
 
@@ -32,7 +33,7 @@
             } else if (event instanceof PeerMessage e) {
                 hear(e.rank(), e.data());
             } else if (event instanceof WorkerList e) {
-                learn(e);
+                learn(roll.heed(e));
             } else if (event instanceof ListFailed) {
                 listFailed();
             } else if (event instanceof Abandoned e) {
@@ -44,6 +45,14 @@
         return actions;
     }
 
+    @Override
+    public final Rotation rotation() {
+        return roll.count(this::avoided);
+    }
+
+    /** Whether a worker of the list gets no job now. */
+    abstract boolean avoided(String worker);
+
     protected final void act(Action action) {
         actions.add(action);
     }
--- a/src/main/java/nettlewick/decision/Logic.java
+++ b/src/main/java/nettlewick/decision/Logic.java
@@ -35,8 +35,6 @@
     private static final double PROBES_PER_ARRIVAL = 3;
     /** A silent worker is left after this many expected job times of silence, summed over its attempts. */
     private static final double SILENCE = 5;
-    /** Part of a cold worker's allowed load that all dispatchers together aim at. */
-    private static final double COLD_PART = 0.4;
     /** A friend asks after this many silent Δ and inherits after twice as many. */
     private static final int FRIEND_PATIENCE = 3;
     /** Workers on the hash ring that a key's jobs are kept to while one of them has room. */
@@ -74,6 +72,7 @@
     private final List<Pool> pools = new ArrayList<>();
     private List<Worker> watched = List.of();
     private final SharedLoads loads;
+    private final ColdStart coldStart;
     private final Outliers outliers = new Outliers(() -> pools.get(0).ready);
     private final Mean[] pace;
     /** By kind, from -1 on: the most that a job bound to it is worth. */
@@ -81,6 +80,7 @@
 
     Logic(Settings settings, long seed) {
         this.settings = settings;
+        coldStart = new ColdStart(settings.rules());
         random = new SplittableRandom(seed);
         epoch = random.nextInt();
         loads = new SharedLoads(settings.fleetSize() - 1);
@@ -143,6 +143,12 @@
         watched = pools.stream().flatMap(pool -> pool.members.stream()).distinct().toList();
     }
 
+    @Override
+    boolean avoided(String id) {
+        Worker w = workers.get(id);
+        return w == null || !w.ready || now < w.shunnedUntil;
+    }
+
     @Override
     void listFailed() {
         subscribeAt = now + DELTA / 2 + random.nextLong(DELTA);
@@ -347,7 +353,8 @@
     }
 
     private boolean usable(Job job, Worker w) {
-        return w.ready && Outliers.trusts(w, job, now) && coldAllows(w) && inScope(job, w) && !job.wasAt(w);
+        return w.ready && Outliers.trusts(w, job, now) && inScope(job, w) && !job.wasAt(w)
+                && coldStart.allows(w, pools.get(w.kind + 1), meanCost.value, now);
     }
 
     /** Whether the last choice saw room, or no fresh answer at all. */
@@ -445,7 +452,7 @@
         int start = random.nextInt(pool.ready.size());
         for (int i = 0; i < pool.ready.size(); i++) {
             Worker w = pool.ready.get((start + i) % pool.ready.size());
-            if (coldAllows(w)) {
+            if (coldStart.allows(w, pools.get(w.kind + 1), meanCost.value, now)) {
                 return w;
             }
         }
@@ -597,30 +604,10 @@
 
     // Cold workers
 
-    private boolean cold(Worker w) {
-        return w.entry.startedAt() > 0 && now - w.entry.startedAt() < settings.rules().cold();
-    }
-
-    private boolean coldAllows(Worker w) {
-        if (!cold(w)) {
-            return true;
-        }
-        // Danger: all dispatchers find a new worker empty and push it over. Each alone sends it no more than
-        // its own part of what warm peers carry, ramped by age; credit never piles up into a burst.
-        Rules rules = settings.rules();
-        double age = (double) Math.max(0, now - w.entry.startedAt()) / rules.cold();
-        double ramp = rules.coldShare() + (1 - rules.coldShare()) * age;
-        double carried = pools.get(w.kind + 1).carried;
-        double rate = COLD_PART * rules.overloadFactor() * carried * ramp;
-        w.coldTokens = Math.min(w.coldTokens + rate * (now - w.coldAt) / 1e9, meanCost.value);
-        w.coldAt = now;
-        return w.coldTokens > 0;
-    }
-
     /** Every Δ: what a warm worker of each kind carries for this dispatcher, by the jobs that it finished. */
     private void measureCarry() {
         for (Pool pool : pools) {
-            long warm = pool.ready.stream().filter(w -> !cold(w)).count();
+            long warm = pool.ready.stream().filter(w -> !coldStart.cold(w, now)).count();
             if (warm > 0) {
                 pool.carried += (pool.served * 1e9 / DELTA / warm - pool.carried) / 4;
             }
--- a/src/main/java/nettlewick/net/Call.java
+++ b/src/main/java/nettlewick/net/Call.java
@@ -20,6 +20,7 @@
     private final CallState state = new CallState();
     private Subchannel.Link link;
     private boolean answering;
+    private boolean whole;
 
     Call(Subchannels subchannels) {
         this.subchannels = subchannels;
@@ -82,12 +83,25 @@
 
     private void end(HttpClientRequest request, Buffer rest) {
         if (!over()) {
-            request.end(rest).onSuccess(v -> state.written());
+            request.end(rest).onSuccess(v -> whole());
         }
     }
 
-    private void read(HttpClientResponse response) {
+    /** The request's last byte is on the socket. */
+    private void whole() {
         state.written();
+        if (!whole) {
+            whole = true;
+            sent();
+        }
+    }
+
+    /** It has reached the socket whole; called once at most. */
+    void sent() {
+    }
+
+    private void read(HttpClientResponse response) {
+        whole();
         answering = true;
         link.used(false);
         response.exceptionHandler(e -> link.close());
--- a/src/main/java/nettlewick/net/CallAttempt.java
+++ b/src/main/java/nettlewick/net/CallAttempt.java
@@ -78,6 +78,11 @@
         }
     }
 
+    @Override
+    void sent() {
+        subchannels.core().figures().relayed();
+    }
+
     @Override
     void answered() {
         // Danger: an answer that ends in good order without its last line tells nothing: it may have run.
--- a/src/main/java/nettlewick/net/ClientGuard.java
+++ b/src/main/java/nettlewick/net/ClientGuard.java
@@ -11,6 +11,8 @@
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
@@ -66,6 +68,7 @@
     private boolean answering;
     private boolean job;
     private boolean result;
+    private boolean closes;
 
     ClientGuard(Clock clock, Budget budget) {
         this.clock = clock;
@@ -178,8 +181,13 @@
         if (written instanceof HttpResponse response) {
             answering = true;
             result = job && response.status().code() == Call.OK;
+            closes = response.headers().contains(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE, true);
         }
         ctx.write(written, promise);
+        if (last && closes) {
+            // Said, then done: a client that overlooks the word would use the connection again.
+            promise.unvoid().addListener(f -> close());
+        }
         if (last) {
             state.answered(clock.now(), result);
             if (!waiting.isEmpty() || head != null) {
--- a/src/main/java/nettlewick/net/Config.java
+++ b/src/main/java/nettlewick/net/Config.java
@@ -16,7 +16,8 @@
 /** What the platform tells a dispatcher: {@code $ROUTER_CONFIG}, with the other variables over it. */
 public record Config(String name, SocketAddress listen, SocketAddress discovery, long seed, int sockets,
         SocketAddress peerListen, List<SocketAddress> peers, ResolverResult known, Settings settings,
-        double connectTimeout, double connIdle, int maxOpen, List<String> reportNames) {
+        double connectTimeout, double connIdle, int maxOpen, List<String> reportNames,
+        SocketAddress adminAddr) {
     private static final double MILLION = 1e6;
     private static final long LONG_TIME = Long.MAX_VALUE / 4;
 
@@ -66,7 +67,9 @@
                 ceilings.numberOr("connect_timeout", 1e9, 1e6, 1e11) / MILLION,
                 ceilings.numberOr("conn_idle", 5e9, 1e6, 1e13) / MILLION,
                 (int) ceilings.wholeOr("max_open", 10_000, 1, Integer.MAX_VALUE),
-                f.part("settings").partOr("report").texts("names"));
+                f.part("settings").partOr("report").texts("names"),
+                f.has("admin_addr") || environment.get("ROUTER_ADMIN_ADDR") != null
+                        ? address(f, "admin_addr", environment.get("ROUTER_ADMIN_ADDR")) : null);
     }
 
     private static ResolverResult known(Fields f) {
@@ -158,6 +161,7 @@
         same.put("listen", listen.equals(next.listen));
         same.put("limits.sockets", sockets == next.sockets);
         same.put("peer_listen", Objects.equals(peerListen, next.peerListen));
+        same.put("admin_addr", Objects.equals(adminAddr, next.adminAddr));
         same.put("settings", settings.equals(next.settings));
         same.put("settings.ceilings.connect_timeout", connectTimeout == next.connectTimeout);
         return same.entrySet().stream().filter(e -> !e.getValue()).map(Map.Entry::getKey).toList();
@@ -166,7 +170,7 @@
     /** This one, with what may change while the dispatcher runs as in that one. */
     Config changed(Config next) {
         return new Config(name, listen, next.discovery, seed, sockets, peerListen, next.peers, known,
-                settings, connectTimeout, next.connIdle, next.maxOpen, reportNames);
+                settings, connectTimeout, next.connIdle, next.maxOpen, reportNames, adminAddr);
     }
 
     /** True if this is a class of the settings. */
--- a/src/main/java/nettlewick/net/Front.java
+++ b/src/main/java/nettlewick/net/Front.java
@@ -11,7 +11,7 @@
 public interface Front {
     /** What a front is built on; {@code connections} is how many it may hold. */
     record Base(Vertx vertx, Context loop, Config config, Clock clock, Core core,
-            BooleanSupplier holdsList, int connections) {
+            BooleanSupplier holdsList, ServiceState state, int connections) {
     }
 
     /** Makes a front on the event loop. */
@@ -22,9 +22,6 @@
     /** Listens; the port that is held comes back. */
     Future<Integer> listen();
 
-    /** Says that it is going to end; what is asked on its connections is still taken. */
-    void drain();
-
     /** Whether a client is connected. */
     boolean connected();
 
--- a/src/main/java/nettlewick/net/HttpFront.java
+++ b/src/main/java/nettlewick/net/HttpFront.java
@@ -41,8 +41,6 @@
     private final int most;
     private final ClientGuard.Budget budget = new ClientGuard.Budget(HELD_MOST);
     private final Map<HttpConnection, ClientGuard> connections = new LinkedHashMap<>();
-    private boolean draining;
-    private boolean closing;
 
     /** {@code sendBuffer} bounds what the kernel holds for a slow reader; -1 leaves it to the kernel. */
     protected HttpFront(Base base, SocketAddress listen, int sendBuffer) {
@@ -59,7 +57,14 @@
         server.requestHandler(this::handle);
         vertx.setPeriodic(LOOK, id -> {
             double now = base.clock().now();
-            List.copyOf(connections.values()).forEach(guard -> guard.sweep(now));
+            boolean closesIdle = base.state().closesIdle(now);
+            List.copyOf(connections.values()).forEach(guard -> {
+                if (closesIdle && guard.state().idle()) {
+                    guard.close();
+                } else {
+                    guard.sweep(now);
+                }
+            });
             for (int over = connections.size() - most; over > 0; over--) {
                 makeWay(null);
             }
@@ -105,23 +110,15 @@
                     }
                 });
     }
+
     @Override
     public final Future<Integer> listen() {
         return server.listen().map(HttpServer::actualPort);
     }
 
-    @Override
-    public final void drain() {
-        draining = true;
-    }
-
-    protected final boolean draining() {
-        return draining;
-    }
-
     /** Whether every answer closes its connection. */
     protected final boolean closing() {
-        return closing;
+        return base.state().closing();
     }
 
     @Override
@@ -133,7 +130,6 @@
     @Override
     public final Future<Void> shut(long millis) {
         Promise<Void> done = Promise.promise();
-        closing = true;
         server.shutdown(millis, TimeUnit.MILLISECONDS);
         sweep(done, millis);
         return done.future();
--- a/src/main/java/nettlewick/net/Node.java
+++ b/src/main/java/nettlewick/net/Node.java
@@ -13,8 +13,11 @@
 import java.util.concurrent.TimeUnit;
 import java.util.logging.Level;
 import java.util.logging.Logger;
+import nettlewick.admin.AdminFront;
+import nettlewick.admin.Operations;
 import nettlewick.core.Clock;
 import nettlewick.core.Core;
+import nettlewick.core.Figures;
 import nettlewick.decision.Dispatcher.JobClass;
 
 /** One real dispatcher: puts core, subchannels, resolver watch, peers and the platform's front together. */
@@ -38,6 +41,8 @@
     static final int CLIENTS_PART = 3;
     /** Connections accepted beyond those a front keeps: the front chooses which of them stays. */
     private static final int SPARE = 8;
+    /** Descriptors of the operators' front: its callers, its listener, its two selectors. */
+    static final int ADMIN = AdminFront.CALLERS_MOST + 8;
 
     private volatile Config config;
     private final Clock clock;
@@ -50,6 +55,9 @@
     private ResolverWatch watch;
     private final List<Front.Maker> makers;
     private final List<Front> fronts = new ArrayList<>();
+    private final ServiceState state = new ServiceState();
+    private AdminFront admin;
+    private volatile int adminPort;
     private volatile boolean holdsList;
     private volatile boolean warm;
     private volatile List<Integer> ports = List.of();
@@ -82,7 +90,7 @@
             core = new Core(clock, config.settings(), config.seed(), config.maxOpen(), subchannels);
             subchannels.bind(core);
             Front.Base base = new Front.Base(vertx, loop, config, clock, core, () -> holdsList && warm,
-                    perFront);
+                    state, perFront);
             makers.forEach(maker -> fronts.add(maker.make(base)));
             Thread thread = new Thread(core, "core");
             thread.setDaemon(true);
@@ -94,12 +102,49 @@
             watch.start(config.known());
             Future.all(fronts.stream().map(Front::listen).toList())
                     .onSuccess(all -> ports = all.list()).compose(all -> peers.listen(core::heard))
-                    .compose(all -> warmUp()).onComplete(started);
+                    .compose(all -> warmUp()).compose(v2 -> listenAdmin())
+                    .onSuccess(v2 -> state.serve()).onComplete(started);
         });
         return started.future().onSuccess(v -> LOG.info("dispatcher " + config.name() + " listens on "
                 + config.listen().hostAddress() + ":" + ports.get(0)));
     }
 
+    private Future<Void> listenAdmin() {
+        if (config.adminAddr() == null) {
+            return Future.succeededFuture();
+        }
+        admin = new AdminFront(config.adminAddr(), operations());
+        return admin.listen().onSuccess(port -> adminPort = port).mapEmpty();
+    }
+
+    private Operations operations() {
+        return new Operations() {
+            @Override
+            public boolean ready() {
+                return state.takesClients() && holdsList && warm;
+            }
+
+            @Override
+            public Figures.Snapshot figures() {
+                return core.figures().snapshot();
+            }
+
+            @Override
+            public boolean drain() {
+                boolean drains = state.drain(clock.now());
+                LOG.info(drains ? "drained by hand" : "drain refused: this process ends");
+                return drains;
+            }
+
+            @Override
+            public boolean resume() {
+                boolean resumes = state.resume();
+                LOG.info(resumes ? "resumed by hand" : "resume refused: this process ends");
+                return resumes;
+            }
+        };
+    }
+
     private Future<Void> warmUp() {
         if (ports.get(0) <= 0) {
             warm = true;
@@ -115,6 +160,11 @@
         return ports;
     }
 
+    /** The port that operators call, or 0. */
+    int adminPort() {
+        return adminPort;
+    }
+
     /** Where the watch is on now. */
     SocketAddress discovery() {
         return config.discovery();
@@ -134,7 +184,7 @@
                 / 1_000_000;
         long kill = Math.min(longest, LONGEST) + KILL;
         loop.runOnContext(v -> {
-            fronts.forEach(Front::drain);
+            state.end();
             vertx.setTimer(ACCEPT_ON, id -> gate.close());
             vertx.setTimer(ACCEPT_ON, id -> shut(began + kill - LAST_TAKEN, longest + SHUT_SPARE, done));
             vertx.setTimer(Math.max(ACCEPT_ON, kill - LAST_ANSWERED), id -> core.endSince(began + ACCEPT_ON));
@@ -152,6 +202,7 @@
         if (clock.now() < at && fronts.stream().anyMatch(Front::connected)) {
             vertx.setTimer(LOOK, id -> shut(at, longest, done));
         } else {
+            state.shut();
             Future.join(fronts.stream().map(f -> f.shut(longest)).toList()).onComplete(r -> done.countDown());
         }
     }
@@ -177,6 +228,7 @@
             core.stop();
             stopped.complete();
         });
-        return stopped.future().compose(v -> vertx.close());
+        return stopped.future().compose(v -> admin == null ? Future.succeededFuture() : admin.close())
+                .compose(v -> vertx.close());
     }
 }
--- a/src/main/java/nettlewick/net/PlatformFront.java
+++ b/src/main/java/nettlewick/net/PlatformFront.java
@@ -10,10 +10,13 @@
 import java.util.function.BooleanSupplier;
 import nettlewick.core.Clock;
 import nettlewick.core.Core;
+import nettlewick.core.Figures;
 import nettlewick.core.Request;
 
 /** The platform's own front: one job, one request, one answer. Lives on the event loop. */
 public final class PlatformFront extends HttpFront {
+    private static final int UNAVAILABLE = 503;
+
     private final Context loop;
     private final Clock clock;
     private final Core core;
@@ -59,20 +62,22 @@
         if (!HttpMethod.GET.equals(request.method()) && !HttpMethod.HEAD.equals(request.method())) {
             request.response().putHeader("Allow", "GET, HEAD");
             RpcReader.reject(request, 405, "health is asked for by GET");
-        } else if (holdsList.getAsBoolean() && !draining()) {
+        } else if (holdsList.getAsBoolean() && !base.state().leaving()) {
             request.response().end();
         } else {
-            RpcReader.reject(request, 503, draining() ? "draining" : "no list of sim runners yet");
+            RpcReader.reject(request, UNAVAILABLE,
+                    base.state().leaving() ? "draining" : "no list of sim runners yet");
         }
     }
 
     private void take(HttpServerRequest http, RpcReader.Draft draft) {
         HttpServerResponse response = http.response();
         tap.request(http, draft.rpc().body());
+        Figures.Ticket ticket = core.figures().taken(draft.jobClass());
         Request request = draft.with(new Request.Caller() {
             @Override
             public void served(byte[] result) {
-                loop.runOnContext(v -> answer(http, 200, Buffer.buffer(result)));
+                loop.runOnContext(v -> answer(http, 200, Buffer.buffer(result), ticket));
             }
 
             @Override
@@ -81,16 +86,19 @@
                     if (retryAfter > 0 && !response.closed()) {
                         response.putHeader("Retry-After", seconds(retryAfter));
                     }
-                    answer(http, 503, Buffer.buffer("unavailable\n"));
+                    answer(http, 503, Buffer.buffer("unavailable\n"), ticket);
                 });
             }
 
             @Override
             public void failed(String reason) {
-                loop.runOnContext(v -> answer(http, 502, Buffer.buffer(reason + "\n")));
+                loop.runOnContext(v -> answer(http, 502, Buffer.buffer(reason + "\n"), ticket));
             }
         });
-        response.closeHandler(v -> core.abandon(request));
+        response.closeHandler(v -> {
+            ticket.left();
+            core.abandon(request);
+        });
         core.submit(request);
     }
 
@@ -98,7 +106,7 @@
         return String.format(Locale.ROOT, "%.3f", millis / 1000);
     }
 
-    private void answer(HttpServerRequest http, int status, Buffer body) {
+    private void answer(HttpServerRequest http, int status, Buffer body, Figures.Ticket ticket) {
         HttpServerResponse response = http.response();
         if (response.ended() || response.closed()) {
             return;
@@ -108,6 +116,8 @@
         }
         response.setStatusCode(status);
         tap.answer(http, response, body);
-        response.end(body);
+        Figures.End end = status == Call.OK ? Figures.End.FULFILLED
+                : status == UNAVAILABLE ? Figures.End.THROTTLED : Figures.End.FAULTED;
+        response.end(body).onSuccess(v -> ticket.answered(end)).onFailure(e -> ticket.left());
     }
 }
--- /dev/null
+++ b/src/main/java/nettlewick/net/ServiceState.java
@@ -0,0 +1,69 @@
+package nettlewick.net;
+
+/**
+ * What this process does for clients: the one place that knows whether it is drained by hand or ending.
+ * Holds no socket. Any thread may ask or tell; times are the caller's, in milliseconds.
+ */
+public final class ServiceState {
+    /** SHUTTING: nothing more is taken; idle connections are closed, others with their answer. */
+    enum Phase { STARTING, SERVING, DRAINED, ENDING, SHUTTING }
+
+    /**
+     * After a drain the front learns of it within 0.1 s and connections come for 0.2 s more. Danger: closed
+     * sooner, an idle one may cut off a job just sent; 4 s after the call none may be left.
+     */
+    static final double IDLE_STAYS = 600;
+
+    private Phase phase = Phase.STARTING;
+    private double drainedAt;
+
+    /** All is there: clients may come. */
+    synchronized void serve() {
+        phase = phase == Phase.STARTING ? Phase.SERVING : phase;
+    }
+
+    /** Sends clients away; again and again is the same as once. False if this process ends anyway. */
+    synchronized boolean drain(double now) {
+        if (phase == Phase.STARTING || phase == Phase.SERVING) {
+            phase = Phase.DRAINED;
+            drainedAt = now;
+        }
+        return phase == Phase.DRAINED;
+    }
+
+    /** Undoes a drain. False if this process ends. */
+    synchronized boolean resume() {
+        phase = phase == Phase.DRAINED ? Phase.SERVING : phase;
+        return phase == Phase.SERVING || phase == Phase.STARTING;
+    }
+
+    /** The planned end has begun. */
+    synchronized void end() {
+        phase = phase == Phase.SHUTTING ? phase : Phase.ENDING;
+    }
+
+    /** The planned end is at its last step. */
+    synchronized void shut() {
+        phase = Phase.SHUTTING;
+    }
+
+    /** Whether clients are welcome. */
+    public synchronized boolean takesClients() {
+        return phase == Phase.SERVING;
+    }
+
+    /** Whether clients are being sent away. */
+    public synchronized boolean leaving() {
+        return phase != Phase.SERVING && phase != Phase.STARTING;
+    }
+
+    /** Whether every answer closes its connection. */
+    synchronized boolean closing() {
+        return phase == Phase.DRAINED || phase == Phase.SHUTTING;
+    }
+
+    /** Whether idle connections are closed. */
+    synchronized boolean closesIdle(double now) {
+        return phase == Phase.SHUTTING || phase == Phase.DRAINED && now - drainedAt >= IDLE_STAYS;
+    }
+}
--- a/src/main/java/nettlewick/net/Subchannels.java
+++ b/src/main/java/nettlewick/net/Subchannels.java
@@ -94,7 +94,8 @@
 
     /** Whether one more connection may be opened; the longest idle one anywhere makes way for it. */
     boolean room() {
-        if (open < mostOpen(config.sockets())) {
+        int operators = config.adminAddr() == null ? 0 : Node.ADMIN;
+        if (open < mostOpen(config.sockets()) - operators) {
             return true;
         }
         for (Subchannel s : all.values()) {
--- a/src/main/java/nettlewick/pcap/ReplayFront.java
+++ b/src/main/java/nettlewick/pcap/ReplayFront.java
@@ -50,11 +50,6 @@
         return Future.succeededFuture(0);
     }
 
-    @Override
-    public void drain() {
-        // Nothing comes in from outside.
-    }
-
     @Override
     public boolean connected() {
         return false;
--- a/src/main/java/nettlewick/sse/EdgeFront.java
+++ b/src/main/java/nettlewick/sse/EdgeFront.java
@@ -128,7 +128,7 @@
         }
         response.putHeader("Content-Location", STREAMS
                 + URLEncoder.encode(id, StandardCharsets.UTF_8).replace("+", "%20"));
-        if (draining()) {
+        if (base.state().leaving()) {
             response.putHeader("Connection", "close");
         }
         Reader joined = new Reader(response, after, edge.retry());
--- /dev/null
+++ b/src/test/java/nettlewick/net/OperationsTest.java
@@ -0,0 +1,155 @@
+package nettlewick.net;
+
+import static nettlewick.net.StandIns.job;
+import static nettlewick.net.StandIns.until;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.vertx.core.buffer.Buffer;
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import nettlewick.admin.AdminFront;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** What operators can ask of a whole dispatcher on loopback. */
+@Timeout(30)
+class OperationsTest {
+    private static final Buffer HEALTH =
+            Buffer.buffer("GET /_health HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+    private StandIns world;
+    private Map<String, Object> config;
+
+    @BeforeEach
+    void open() throws Exception {
+        world = new StandIns();
+        world.addRunner("s-1");
+        config = world.config();
+        config.put("admin_addr", "127.0.0.1:0");
+    }
+
+    @AfterEach
+    void close() {
+        world.close();
+    }
+
+    private int start() throws Exception {
+        Node node = world.start(config);
+        until(() -> node.adminPort() > 0 && call("GET", "/-/ready").startsWith("200"));
+        return node.ports().get(0);
+    }
+
+    /** Sends bytes and reads to the end of the connection. */
+    private static String talk(int port, Buffer bytes) {
+        try (Socket socket = new Socket("127.0.0.1", port)) {
+            socket.getOutputStream().write(bytes.getBytes());
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+        } catch (IOException e) {
+            return "broken: " + e;
+        }
+    }
+
+    /** The status of one call, and its body. */
+    private String call(String method, String path) {
+        String answer = talk(world.node().adminPort(),
+                Buffer.buffer(method + " " + path + " HTTP/1.1\r\nHost: x\r\n\r\n"));
+        return answer.replaceAll("(?s)HTTP/1.1 (\\d+).*?\r\n\r\n", "$1 ");
+    }
+
+    @Test
+    void figuresCountWhatClientsAndRunnersSaw() throws Exception {
+        int port = start();
+        assertTrue(call("GET", "/-/metrics").contains("router.operations.mark-submit.faulted=0\n"));
+        talk(port, job("/api", "a", "step-view", "", "Connection: close"));
+        talk(port, job("/api", "a", "step-view", "", "Connection: close"));
+        talk(port, job("/api", "b", "no-class", "", "Connection: close"));
+        world.instead = request -> request.response().setStatusCode(503).putHeader("X-Not-Run", "1").end();
+        talk(port, job("/api", "c", "mark-submit", "", "Connection: close"));
+        world.instead = request -> { };
+        Socket waits = new Socket("127.0.0.1", port);
+        waits.getOutputStream().write(job("/api", "d", "save-run", "").getBytes());
+        until(() -> call("GET", "/-/metrics").contains("router.open_requests=1\n")
+                && call("GET", "/-/metrics").contains("router.relayed=3\n"));
+        String figures = call("GET", "/-/metrics");
+        for (String line : List.of("operations.step-view.fulfilled=1", "operations.step-view.faulted=1",
+                "operations.mark-submit.throttled=1", "operations.save-run.fulfilled=0",
+                "registry_entries=1", "out_of_rotation=0")) {
+            assertTrue(figures.contains("router." + line + "\n"), line + " in " + figures);
+        }
+        waits.close();
+        until(() -> call("GET", "/-/metrics").contains("router.open_requests=0\n"));
+    }
+
+    @Test
+    void whatIsNoCallIsToldSo() throws Exception {
+        start();
+        assertTrue(call("GET", "/-/nothing").startsWith("404"));
+        assertTrue(call("POST", "/-/ready").startsWith("405"));
+        assertTrue(call("GET", "/-/drain").startsWith("405"));
+        assertEquals("200", talk(world.node().ports().get(0), HEALTH).substring(9, 12));
+    }
+
+    /** Guards against silent callers, who would hold all descriptors of the operators' front. */
+    @Test
+    void silentCallersHoldNobodyUp() throws Exception {
+        start();
+        List<Socket> silent = new ArrayList<>();
+        for (int i = 0; i < 3 * AdminFront.CALLERS_MOST; i++) {
+            silent.add(new Socket("127.0.0.1", world.node().adminPort()));
+            silent.get(i).getOutputStream().write("GET /-/re".getBytes(StandardCharsets.US_ASCII));
+        }
+        assertTrue(call("GET", "/-/ready").startsWith("200"));
+        for (Socket socket : silent) {
+            socket.close();
+        }
+    }
+
+    @Test
+    void aDrainSendsClientsAwayAndResumeTakesThemBack() throws Exception {
+        int port = start();
+        world.runTime = 1500;
+        try (Socket idle = new Socket("127.0.0.1", port); Socket busy = new Socket("127.0.0.1", port)) {
+            idle.getOutputStream().write(HEALTH.toString().replace("Connection: close\r\n", "").getBytes(
+                    StandardCharsets.US_ASCII));
+            assertTrue(idle.getInputStream().read() >= 0);
+            busy.getOutputStream().write(job("/api", "before", "step-view", "").getBytes());
+            until(() -> !world.seen.isEmpty());
+            assertTrue(call("POST", "/-/drain").startsWith("200"));
+            assertTrue(call("POST", "/-/drain").startsWith("200"));
+            assertTrue(talk(port, HEALTH).startsWith("HTTP/1.1 503"));
+            assertTrue(call("GET", "/-/ready").startsWith("503"));
+            // Both end by themselves: the idle one is closed, the busy one after its answer.
+            idle.getInputStream().readAllBytes();
+            String answer = new String(busy.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+            assertTrue(answer.contains("r-before") && answer.toLowerCase().contains("connection: close"), answer);
+        }
+        world.runTime = 10;
+        assertTrue(talk(port, job("/api", "late", "step-view", "")).contains("r-late"));
+        assertTrue(call("POST", "/-/resume").startsWith("200"));
+        assertTrue(talk(port, HEALTH).startsWith("HTTP/1.1 200"));
+        String kept = talk(port, job("/api", "kept", "step-view", "", "Connection: close"));
+        assertTrue(kept.contains("r-kept"), kept);
+    }
+
+    @Test
+    void onlyAnEndIsFinal() {
+        ServiceState state = new ServiceState();
+        state.serve();
+        assertTrue(state.drain(0) && state.drain(500) && state.closing() && !state.takesClients());
+        assertFalse(state.closesIdle(ServiceState.IDLE_STAYS - 1));
+        assertTrue(state.closesIdle(ServiceState.IDLE_STAYS));
+        assertTrue(state.resume() && state.takesClients() && !state.closing() && !state.closesIdle(9e9));
+        state.drain(0);
+        state.end();
+        assertFalse(state.resume() || state.drain(0) || state.takesClients() || state.closing());
+        state.shut();
+        assertTrue(state.closing() && state.closesIdle(0) && !state.resume());
+    }
+}
