--- a/src/main/java/nettlewick/cli/Serve.java
+++ b/src/main/java/nettlewick/cli/Serve.java
@@ -3,6 +3,7 @@
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -17,6 +18,7 @@
 import nettlewick.net.Front;
 import nettlewick.net.Node;
 import nettlewick.net.PlatformFront;
+import nettlewick.net.Succession;
 import nettlewick.net.Tap;
 import nettlewick.pcap.CaptureWriter;
 import nettlewick.sse.EdgeConfig;
@@ -54,7 +56,7 @@
         } catch (Fields.Bad e) {
             throw new Misuse(Main.MISUSED, e.getMessage());
         }
-        Node node = new Node(config, clock, fronts.toArray(Front.Maker[]::new));
+        Node node = new Node(config, clock, succession(config, clock), fronts.toArray(Front.Maker[]::new));
         // Danger: by itself the JVM ends on SIGTERM with code 143; what was taken is answered first, then 0.
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             node.shutDown();
@@ -72,6 +74,18 @@
         return 0;
     }
 
+    /** Tells this process from others of the same dispatcher; null where that cannot be told. */
+    private static Succession succession(Config config, Clock clock) {
+        try {
+            return config.listen().port() == 0 ? null : new Succession(
+                    Path.of(System.getProperty("java.io.tmpdir")),
+                    config.name() + "-" + config.listen().port(), (long) clock.now());
+        } catch (UncheckedIOException e) {
+            LOG.warning("no upgrade beside a living process: " + e.getMessage());
+            return null;
+        }
+    }
+
     /** Danger: a bad file must not cost what is in force. */
     private static void reread(Node node) {
         try {
--- a/src/main/java/nettlewick/net/AcceptGate.java
+++ b/src/main/java/nettlewick/net/AcceptGate.java
@@ -6,6 +6,9 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.vertx.core.impl.transports.NioTransport;
 import io.vertx.core.transport.Transport;
+import java.net.SocketAddress;
+import java.net.StandardSocketOptions;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -17,7 +20,7 @@
  * bound, newcomers wait in the kernel's queue until a connection is closed.
  */
 final class AcceptGate implements Transport {
-    private final int most;
+    private volatile int most;
     private final AtomicInteger open = new AtomicInteger();
     private final Set<Channel> listeners = ConcurrentHashMap.newKeySet();
     private final Set<Channel> held = ConcurrentHashMap.newKeySet();
@@ -31,6 +34,34 @@
             listeners.add(this);
         }
 
+        @Override
+        protected void doBind(SocketAddress address) throws Exception {
+            // Danger: the NIO transport leaves Vert.x's reusePort out without a word, and a new version of
+            // this program could not listen beside the old one. The first process has to allow it too.
+            javaChannel().setOption(StandardSocketOptions.SO_REUSEPORT, true);
+            super.doBind(address);
+        }
+
+        /**
+         * Takes all that waits in the kernel's queue, then listens no more. Danger: the kernel resets what a
+         * closed listener has not accepted.
+         */
+        private void closeEmptied() {
+            List<Object> waiting = new ArrayList<>();
+            try {
+                while (super.doReadMessages(waiting) > 0) {
+                    open.incrementAndGet();
+                }
+            } catch (Exception e) {
+                // what could not be accepted is lost with the listener
+            }
+            close();
+            for (Object child : waiting) {
+                ((Channel) child).closeFuture().addListener(f -> leave());
+                pipeline().fireChannelRead(child);
+            }
+        }
+
         @Override
         protected int doReadMessages(List<Object> accepted) throws Exception {
             if (open.incrementAndGet() > most) {
@@ -58,6 +89,18 @@
         listeners.forEach(Channel::close);
     }
 
+    /** Accepts what waits already, whatever the bound, and nothing new. */
+    void closeEmptied() {
+        for (Channel channel : listeners) {
+            channel.eventLoop().execute(((GatedChannel) channel)::closeEmptied);
+        }
+    }
+
+    /** From now on so many connections may be open. */
+    void bound(int next) {
+        most = next;
+    }
+
     private void leave() {
         if (open.decrementAndGet() < most) {
             for (Channel channel : held) {
--- a/src/main/java/nettlewick/net/Config.java
+++ b/src/main/java/nettlewick/net/Config.java
@@ -173,6 +173,13 @@
                 settings, connectTimeout, next.connIdle, next.maxOpen, reportNames, adminAddr);
     }
 
+    /** The same, but for clients at any free port: for a warm-up that nobody else sees. */
+    Config atFreePort() {
+        return new Config(name, SocketAddress.inetSocketAddress(0, listen.hostAddress()), discovery, seed,
+                sockets, peerListen, peers, known, settings, connectTimeout, connIdle, maxOpen, reportNames,
+                adminAddr);
+    }
+
     /** True if this is a class of the settings. */
     boolean hasClass(String name) {
         return settings.classes().stream().anyMatch(c -> c.name().equals(name));
--- a/src/main/java/nettlewick/net/HttpFront.java
+++ b/src/main/java/nettlewick/net/HttpFront.java
@@ -39,6 +39,7 @@
     private final HttpServerOptions options;
     private final HttpServer server;
     private final int most;
+    private final long look;
     private final ClientGuard.Budget budget = new ClientGuard.Budget(HELD_MOST);
     private final Map<HttpConnection, ClientGuard> connections = new LinkedHashMap<>();
 
@@ -55,7 +56,7 @@
         server.exceptionHandler(e -> { });
         server.connectionHandler(this::opened);
         server.requestHandler(this::handle);
-        vertx.setPeriodic(LOOK, id -> {
+        look = vertx.setPeriodic(LOOK, id -> {
             double now = base.clock().now();
             boolean closesIdle = base.state().closesIdle(now);
             List.copyOf(connections.values()).forEach(guard -> {
@@ -138,6 +139,7 @@
     private void sweep(Promise<Void> done, long left) {
         List.copyOf(connections.values()).stream().filter(g -> g.state().idle()).forEach(ClientGuard::close);
         if (connections.isEmpty() || left <= 0) {
+            vertx.cancelTimer(look);
             done.tryComplete();
         } else {
             vertx.setTimer(SWEEP, id -> sweep(done, left - SWEEP));
--- a/src/main/java/nettlewick/net/Node.java
+++ b/src/main/java/nettlewick/net/Node.java
@@ -1,5 +1,6 @@
 package nettlewick.net;
 
+import io.vertx.core.CompositeFuture;
 import io.vertx.core.Context;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
@@ -37,6 +38,10 @@
     private static final long LAST_TAKEN = 600;
     private static final long LAST_ANSWERED = 250;
     private static final long LOOK = 50;
+    /** How long a successor waits for discovery's first word; after that the list it was given counts. */
+    private static final long TOLD = 1000;
+    /** How often it is looked whether another process shares the limits. */
+    private static final long SHARE = 500;
     /** One descriptor in so many is for clients. */
     static final int CLIENTS_PART = 3;
     /** Connections accepted beyond those a front keeps: the front chooses which of them stays. */
@@ -47,22 +52,31 @@
     private volatile Config config;
     private final Clock clock;
     private final Vertx vertx;
+    private final Succession succession;
+    private final int clients;
     private final int perFront;
     private final AcceptGate gate;
     private final Context loop;
+    private PeerSocket peers;
     private Core core;
     private Subchannels subchannels;
     private ResolverWatch watch;
     private final List<Front.Maker> makers;
     private final List<Front> fronts = new ArrayList<>();
     private final ServiceState state = new ServiceState();
-    private AdminFront admin;
+    private final AdminFront admin;
     private volatile int adminPort;
     private volatile boolean holdsList;
     private volatile boolean warm;
     private volatile List<Integer> ports = List.of();
 
     public Node(Config config, Clock clock, Front.Maker... makers) {
+        this(config, clock, null, makers);
+    }
+
+    /** One that may share its address with an older or newer process; {@code succession} null: never. */
+    public Node(Config config, Clock clock, Succession succession, Front.Maker... makers) {
+        this.succession = succession;
         this.makers = List.of(makers);
         this.config = config;
         this.clock = clock;
@@ -71,7 +85,7 @@
         // Danger: Netty's allocator brings up the flight recorder at its first buffer: a fifth of a second of
         // CPU at each start, twice that on half a core, while clients wait.
         System.setProperty("io.netty.jfr.enabled", "false");
-        int clients = config.sockets() / CLIENTS_PART;
+        clients = config.sockets() / CLIENTS_PART;
         gate = new AcceptGate(clients);
         perFront = Math.max(1, clients / Math.max(1, makers.length) - SPARE);
         vertx = Vertx.builder().with(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1)
@@ -79,15 +93,17 @@
                         .setFileCachingEnabled(false).setClassPathResolvingEnabled(false)))
                 .withTransport(gate).build();
         loop = vertx.getOrCreateContext();
+        admin = config.adminAddr() == null ? null : new AdminFront(config.adminAddr(), operations());
     }
 
     /** Starts all parts; done once the sockets listen. */
     public Future<Void> start() {
         Promise<Void> started = Promise.promise();
         loop.runOnContext(v -> {
-            PeerSocket peers = new PeerSocket(vertx, config);
+            boolean heir = succession != null && succession.shared();
+            peers = new PeerSocket(vertx, config);
             subchannels = new Subchannels(vertx, loop, config, clock, peers);
-            core = new Core(clock, config.settings(), config.seed(), config.maxOpen(), subchannels);
+            core = new Core(clock, config.settings(), seed(heir), config.maxOpen(), subchannels);
             subchannels.bind(core);
             Front.Base base = new Front.Base(vertx, loop, config, clock, core, () -> holdsList && warm,
                     state, perFront);
@@ -95,25 +111,73 @@
             Thread thread = new Thread(core, "core");
             thread.setDaemon(true);
             thread.start();
+            Promise<Void> told = Promise.promise();
             watch = new ResolverWatch(vertx, config.discovery(), clock, news -> {
                 subchannels.update(news);
                 holdsList = true;
+                if (news != config.known()) {
+                    told.tryComplete();
+                }
             });
             watch.start(config.known());
-            Future.all(fronts.stream().map(Front::listen).toList())
-                    .onSuccess(all -> ports = all.list()).compose(all -> peers.listen(core::heard))
-                    .compose(all -> warmUp()).compose(v2 -> listenAdmin())
-                    .onSuccess(v2 -> state.serve()).onComplete(started);
+            vertx.setTimer(TOLD, id -> told.tryComplete());
+            listenAdmin().compose(v2 -> heir ? succeed(told.future(), base) : begin())
+                    .onSuccess(v2 -> serve()).onComplete(started);
         });
         return started.future().onSuccess(v -> LOG.info("dispatcher " + config.name() + " listens on "
                 + config.listen().hostAddress() + ":" + ports.get(0)));
     }
 
+    /** Starts where nobody serves at this address: listens at once and says yes once warm. */
+    private Future<Void> begin() {
+        return listen().compose(all -> peers.listen(core::heard)).compose(all -> warmUp(ports.get(0)));
+    }
+
+    /**
+     * Starts beside a process that serves at this address. Danger: a client that the kernel deals to this one
+     * is lost to the other, and a health that says no turns the front away from both. All else comes first.
+     */
+    private Future<Void> succeed(Future<Void> told, Front.Base base) {
+        LOG.info("another process serves here; this one is to succeed it");
+        peers.await(core::heard);
+        Front own = new PlatformFront(new Front.Base(vertx, loop, config.atFreePort(), clock, core,
+                () -> true, state, perFront));
+        return own.listen().compose(this::warmUp).compose(v -> own.shut(0)).compose(v -> told)
+                .compose(v -> listen()).mapEmpty();
+    }
+
+    private Future<CompositeFuture> listen() {
+        return Future.all(fronts.stream().map(Front::listen).toList()).onSuccess(all -> ports = all.list());
+    }
+
+    private void serve() {
+        state.serve();
+        if (succession != null) {
+            succession.takesClients();
+            share();
+            vertx.setPeriodic(SHARE, id -> share());
+        }
+    }
+
+    /** Danger: two processes with all descriptors each would hold more than the dispatcher may. */
+    private void share() {
+        boolean shared = succession.shared();
+        subchannels.share(shared);
+        gate.bound(shared ? clients / 2 : clients);
+    }
+
+    /**
+     * Danger: both processes of an upgrade are given the same seed. Peers know a life by a number drawn from
+     * it, and would pass over the gifts of a second life with the number of the first.
+     */
+    private long seed(boolean heir) {
+        return heir ? config.seed() ^ ProcessHandle.current().pid() * 0x9e3779b97f4a7c15L : config.seed();
+    }
+
     private Future<Void> listenAdmin() {
-        if (config.adminAddr() == null) {
+        if (admin == null) {
             return Future.succeededFuture();
         }
-        admin = new AdminFront(config.adminAddr(), operations());
         return admin.listen().onSuccess(port -> adminPort = port).mapEmpty();
     }
 
@@ -145,12 +209,12 @@
         };
     }
 
-    private Future<Void> warmUp() {
-        if (ports.get(0) <= 0) {
+    private Future<Void> warmUp(int port) {
+        if (port <= 0) {
             warm = true;
             return Future.succeededFuture();
         }
-        SocketAddress own = SocketAddress.inetSocketAddress(ports.get(0), config.listen().hostAddress());
+        SocketAddress own = SocketAddress.inetSocketAddress(port, config.listen().hostAddress());
         WarmUp.module(config.settings());
         return WarmUp.sockets(subchannels.client(), own).onComplete(v -> warm = true);
     }
@@ -170,6 +234,15 @@
         return config.discovery();
     }
 
+    ServiceState state() {
+        return state;
+    }
+
+    /** Whether the peers' port is this process's. */
+    boolean hearsPeers() {
+        return peers.bound();
+    }
+
     /** Whether a list of sim runners is held. */
     boolean holdsList() {
         return holdsList;
@@ -177,15 +250,21 @@
 
     /** A planned end: goes on accepting for a while, then answers all that was taken. Blocks until then. */
     public void shutDown() {
-        LOG.info("shutting down");
+        boolean successor = succession != null && succession.successor();
+        LOG.info(successor ? "handing over to the process that succeeds this one" : "shutting down");
         CountDownLatch done = new CountDownLatch(1);
         double began = clock.now();
         long longest = config.settings().classes().stream().mapToLong(JobClass::deadline).max().orElse(0)
                 / 1_000_000;
         long kill = Math.min(longest, LONGEST) + KILL;
         loop.runOnContext(v -> {
-            state.end();
-            vertx.setTimer(ACCEPT_ON, id -> gate.close());
+            state.end(successor);
+            if (successor) {
+                gate.closeEmptied();
+                peers.close();
+            } else {
+                vertx.setTimer(ACCEPT_ON, id -> gate.close());
+            }
             vertx.setTimer(ACCEPT_ON, id -> shut(began + kill - LAST_TAKEN, longest + SHUT_SPARE, done));
             vertx.setTimer(Math.max(ACCEPT_ON, kill - LAST_ANSWERED), id -> core.endSince(began + ACCEPT_ON));
         });
@@ -228,6 +307,9 @@
             core.stop();
             stopped.complete();
         });
+        if (succession != null) {
+            succession.close();
+        }
         return stopped.future().compose(v -> admin == null ? Future.succeededFuture() : admin.close())
                 .compose(v -> vertx.close());
     }
--- a/src/main/java/nettlewick/net/PeerSocket.java
+++ b/src/main/java/nettlewick/net/PeerSocket.java
@@ -13,14 +13,18 @@
 /** Short messages to and from the other dispatchers. Lives on the event loop. */
 final class PeerSocket {
     private static final int MOST = 256;
+    /** Between two tries for a port that another process still holds. */
+    private static final long AGAIN = 100;
 
     private Config config;
-    private boolean bound;
-    private final DatagramSocket socket;
+    private volatile boolean bound;
+    private boolean closed;
+    private final Vertx vertx;
+    private DatagramSocket socket;
     private final Map<String, Integer> ranks = new HashMap<>();
 
     PeerSocket(Vertx vertx, Config config) {
-        socket = vertx.createDatagramSocket(new DatagramSocketOptions());
+        this.vertx = vertx;
         reload(config);
     }
 
@@ -42,6 +46,7 @@
         if (config.peerListen() == null || !config.settings().limits().peers()) {
             return Future.succeededFuture();
         }
+        socket = vertx.createDatagramSocket(new DatagramSocketOptions());
         socket.exceptionHandler(e -> { });
         socket.handler(packet -> {
             // Danger: anybody can send a datagram; only a known dispatcher is heard, and only short ones.
@@ -54,6 +59,29 @@
                 .onSuccess(s -> bound = true).mapEmpty();
     }
 
+    /** Listens as soon as the process that holds the port gives it up. */
+    void await(BiConsumer<Integer, byte[]> heard) {
+        listen(heard).onFailure(e -> {
+            socket.close();
+            if (!closed) {
+                vertx.setTimer(AGAIN, id -> await(heard));
+            }
+        });
+    }
+
+    boolean bound() {
+        return bound;
+    }
+
+    /** Gives the port up. */
+    void close() {
+        closed = true;
+        bound = false;
+        if (socket != null) {
+            socket.close();
+        }
+    }
+
     void send(int rank, byte[] data) {
         // Danger: one longer datagram voids the whole run. One sent before the socket is bound binds it to
         // another port: peers would take it for a stranger's, and this dispatcher could not listen any more.
--- a/src/main/java/nettlewick/net/PlatformFront.java
+++ b/src/main/java/nettlewick/net/PlatformFront.java
@@ -62,11 +62,11 @@
         if (!HttpMethod.GET.equals(request.method()) && !HttpMethod.HEAD.equals(request.method())) {
             request.response().putHeader("Allow", "GET, HEAD");
             RpcReader.reject(request, 405, "health is asked for by GET");
-        } else if (holdsList.getAsBoolean() && !base.state().leaving()) {
+        } else if (holdsList.getAsBoolean() && base.state().healthy()) {
             request.response().end();
         } else {
             RpcReader.reject(request, UNAVAILABLE,
-                    base.state().leaving() ? "draining" : "no list of sim runners yet");
+                    base.state().healthy() ? "no list of sim runners yet" : "draining");
         }
     }
 
--- a/src/main/java/nettlewick/net/ServiceState.java
+++ b/src/main/java/nettlewick/net/ServiceState.java
@@ -1,12 +1,13 @@
 package nettlewick.net;
 
 /**
- * What this process does for clients: the one place that knows whether it is drained by hand or ending.
+ * What this process does for clients: the one place that knows whether it is drained by hand, ending, or
+ * handing over to a successor.
  * Holds no socket. Any thread may ask or tell; times are the caller's, in milliseconds.
  */
 public final class ServiceState {
     /** SHUTTING: nothing more is taken; idle connections are closed, others with their answer. */
-    enum Phase { STARTING, SERVING, DRAINED, ENDING, SHUTTING }
+    enum Phase { STARTING, SERVING, DRAINED, ENDING, HANDING_OVER, SHUTTING }
 
     /**
      * After a drain the front learns of it within 0.1 s and connections come for 0.2 s more. Danger: closed
@@ -37,9 +38,9 @@
         return phase == Phase.SERVING || phase == Phase.STARTING;
     }
 
-    /** The planned end has begun. */
-    synchronized void end() {
-        phase = phase == Phase.SHUTTING ? phase : Phase.ENDING;
+    /** The planned end has begun; a successor on the same address takes new clients meanwhile. */
+    synchronized void end(boolean successor) {
+        phase = phase == Phase.SHUTTING ? phase : successor ? Phase.HANDING_OVER : Phase.ENDING;
     }
 
     /** The planned end is at its last step. */
@@ -52,6 +53,14 @@
         return phase == Phase.SERVING;
     }
 
+    /**
+     * Whether {@code /_health} may say yes. Danger: a process that hands over shares its address with its
+     * successor; a no would turn the front away from both.
+     */
+    synchronized boolean healthy() {
+        return phase == Phase.STARTING || phase == Phase.SERVING || phase == Phase.HANDING_OVER;
+    }
+
     /** Whether clients are being sent away. */
     public synchronized boolean leaving() {
         return phase != Phase.SERVING && phase != Phase.STARTING;
@@ -59,7 +68,7 @@
 
     /** Whether every answer closes its connection. */
     synchronized boolean closing() {
-        return phase == Phase.DRAINED || phase == Phase.SHUTTING;
+        return phase == Phase.DRAINED || phase == Phase.HANDING_OVER || phase == Phase.SHUTTING;
     }
 
     /** Whether idle connections are closed. */
--- a/src/main/java/nettlewick/net/Subchannels.java
+++ b/src/main/java/nettlewick/net/Subchannels.java
@@ -32,6 +32,7 @@
     private final ReuseGauge gauge = new ReuseGauge();
     private Core core;
     private int open;
+    private boolean shared;
 
     Subchannels(Vertx vertx, Context loop, Config config, Clock clock, PeerSocket peers) {
         this.vertx = vertx;
@@ -53,6 +54,11 @@
         vertx.setPeriodic(SWEEP, id -> all.values().forEach(s -> s.idle().expire(now())));
     }
 
+    /** Whether another process uses the same descriptors. */
+    void share(boolean with) {
+        shared = with;
+    }
+
     /** Takes over what may change: the addresses of peers and the patience of idle connections. */
     void reload(Config next) {
         config = next;
@@ -95,7 +101,8 @@
     /** Whether one more connection may be opened; the longest idle one anywhere makes way for it. */
     boolean room() {
         int operators = config.adminAddr() == null ? 0 : Node.ADMIN;
-        if (open < mostOpen(config.sockets()) - operators) {
+        int mine = mostOpen(config.sockets()) - operators;
+        if (open < (shared ? mine / 2 : mine)) {
             return true;
         }
         for (Subchannel s : all.values()) {
--- /dev/null
+++ b/src/main/java/nettlewick/net/Succession.java
@@ -0,0 +1,120 @@
+package nettlewick.net;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.channels.FileLock;
+import java.nio.channels.OverlappingFileLockException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.DirectoryStream;
+import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.nio.file.StandardOpenOption;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Which other processes serve as the same dispatcher, told by files in a folder they share. Each process
+ * holds a lock on its own file; the kernel gives it back however the process ends. Safe for any thread.
+ */
+public final class Succession implements AutoCloseable {
+    private static final String END = ".alive";
+    private static final byte[] TAKES = "takes clients\n".getBytes(StandardCharsets.US_ASCII);
+
+    private final Path folder;
+    private final String prefix;
+    private final String own;
+    private final FileChannel channel;
+
+    /** A process that lives beside this one. */
+    private record Other(String name, boolean takesClients) {
+    }
+
+    /**
+     * Makes this process known.
+     *
+     * @param dispatcher tells dispatchers apart that share the folder
+     * @param startedAt  Unix time in milliseconds: of two processes, the later one is the successor
+     */
+    public Succession(Path folder, String dispatcher, long startedAt) {
+        this.folder = folder;
+        prefix = dispatcher.replaceAll("[^A-Za-z0-9.]", "_") + '-';
+        own = String.format("%s%013d-%d%s", prefix, startedAt, ProcessHandle.current().pid(), END);
+        try {
+            // Danger: seen before it is locked, the file would be taken for a dead process's and deleted.
+            Path made = Files.createTempFile(folder, "nettlewick", ".new");
+            channel = FileChannel.open(made, StandardOpenOption.WRITE);
+            channel.lock();
+            Files.move(made, folder.resolve(own), StandardCopyOption.ATOMIC_MOVE);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** From now on this process takes clients. */
+    public void takesClients() {
+        try {
+            channel.write(ByteBuffer.wrap(TAKES), 0);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** Whether another process of this dispatcher lives. */
+    public boolean shared() {
+        return !others().isEmpty();
+    }
+
+    /** Whether a process that started later lives and takes clients. */
+    public boolean successor() {
+        return others().stream().anyMatch(o -> o.takesClients() && o.name().compareTo(own) > 0);
+    }
+
+    private List<Other> others() {
+        List<Other> living = new ArrayList<>();
+        try (DirectoryStream<Path> files = Files.newDirectoryStream(folder, prefix + "*" + END)) {
+            for (Path file : files) {
+                String name = file.getFileName().toString();
+                if (!name.equals(own)) {
+                    look(file, name, living);
+                }
+            }
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        return living;
+    }
+
+    private static void look(Path file, String name, List<Other> living) throws IOException {
+        try (FileChannel other = FileChannel.open(file, StandardOpenOption.READ, StandardOpenOption.WRITE)) {
+            if (locked(other)) {
+                living.add(new Other(name, other.size() >= TAKES.length));
+            } else {
+                Files.deleteIfExists(file);
+            }
+        } catch (NoSuchFileException e) {
+            // its process has just ended
+        }
+    }
+
+    private static boolean locked(FileChannel other) throws IOException {
+        try (FileLock lock = other.tryLock()) {
+            return lock == null;
+        } catch (OverlappingFileLockException e) {
+            return true;
+        }
+    }
+
+    @Override
+    public void close() {
+        try {
+            Files.deleteIfExists(folder.resolve(own));
+            channel.close();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+}
--- a/src/test/java/nettlewick/net/OperationsTest.java
+++ b/src/test/java/nettlewick/net/OperationsTest.java
@@ -147,8 +147,11 @@
         assertTrue(state.closesIdle(ServiceState.IDLE_STAYS));
         assertTrue(state.resume() && state.takesClients() && !state.closing() && !state.closesIdle(9e9));
         state.drain(0);
-        state.end();
+        state.end(false);
         assertFalse(state.resume() || state.drain(0) || state.takesClients() || state.closing());
+        assertFalse(state.healthy());
+        state.end(true);
+        assertTrue(state.healthy() && state.closing() && !state.closesIdle(9e9) && !state.takesClients());
         state.shut();
         assertTrue(state.closing() && state.closesIdle(0) && !state.resume());
     }
--- /dev/null
+++ b/src/test/java/nettlewick/net/SuccessionTest.java
@@ -0,0 +1,110 @@
+package nettlewick.net;
+
+import static nettlewick.net.StandIns.get;
+import static nettlewick.net.StandIns.job;
+import static nettlewick.net.StandIns.until;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.google.gson.Gson;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import nettlewick.core.Clock;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Two processes of one dispatcher, as while a new version takes over. */
+@Timeout(30)
+class SuccessionTest {
+    @Test
+    void theLivingAreToldFromTheDead(@TempDir Path dir) throws Exception {
+        Path dead = Files.writeString(dir.resolve("n0_80-0000000000005-7.alive"), "takes clients\n");
+        Files.writeString(dir.resolve("n1_80-0000000000005-7.alive"), "");
+        try (Succession old = new Succession(dir, "n0:80", 10)) {
+            assertFalse(old.shared() || old.successor());
+            assertFalse(Files.exists(dead));
+            Succession heir = new Succession(dir, "n0:80", 11);
+            assertTrue(old.shared() && heir.shared());
+            old.takesClients();
+            assertFalse(old.successor() || heir.successor());
+            heir.takesClients();
+            assertTrue(old.successor());
+            assertFalse(heir.successor());
+            heir.close();
+            assertFalse(old.shared());
+        }
+        assertTrue(Files.exists(dir.resolve("n1_80-0000000000005-7.alive")));
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0)) {
+            return socket.getLocalPort();
+        }
+    }
+
+    /** One job on this connection; its answer's head and body. */
+    private static String ask(Socket socket, String id) throws IOException {
+        socket.getOutputStream().write(job("/api", id, "step-view", "").getBytes());
+        InputStream in = socket.getInputStream();
+        StringBuilder got = new StringBuilder();
+        while (got.indexOf("r-" + id) < 0) {
+            int b = in.read();
+            if (b < 0) {
+                throw new IOException(id + " got no answer but: " + got);
+            }
+            got.append((char) b);
+        }
+        return got.toString();
+    }
+
+    @Test
+    void aSuccessorTakesOverAndNoJobIsTurnedBack(@TempDir Path dir) throws Exception {
+        try (StandIns world = new StandIns()) {
+            world.addRunner("s-1");
+            world.runTime = 2;
+            int port = freePort();
+            Map<String, Object> text = world.config();
+            text.put("listen", "127.0.0.1:" + port);
+            text.put("peer_listen", "127.0.0.1:" + port);
+            text.put("peers", java.util.List.of("127.0.0.1:" + port, "127.0.0.1:1"));
+            Config config = Config.of(new Gson().toJson(text), Map.of());
+            Node old = new Node(config, Clock.system(), new Succession(dir, "n0", 1), PlatformFront::new);
+            get(old.start());
+            until(old::holdsList);
+            Socket kept = new Socket("127.0.0.1", port);
+            assertTrue(ask(kept, "before").contains("200"));
+            Node heir = new Node(config, Clock.system(), new Succession(dir, "n0", 2), PlatformFront::new);
+            get(heir.start());
+            CompletableFuture<Void> end = CompletableFuture.runAsync(old::shutDown);
+            until(() -> old.state().leaving());
+            int jobs = 0;
+            // The kept connection is served by the old process for as long as it lives, and then closed.
+            String last = ask(kept, "kept");
+            assertTrue(last.toLowerCase().contains("connection: close"), last);
+            assertEquals(-1, kept.getInputStream().read());
+            while (!end.isDone() || jobs < 50) {
+                try (Socket fresh = new Socket("127.0.0.1", port)) {
+                    assertTrue(ask(fresh, "j" + jobs++).startsWith("HTTP/1.1 200"));
+                }
+            }
+            until(heir::hearsPeers);
+            get(old.close());
+            try (Socket socket = new Socket("127.0.0.1", port)) {
+                socket.getOutputStream().write("GET /_health HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+                        .getBytes(StandardCharsets.US_ASCII));
+                assertTrue(new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII)
+                        .startsWith("HTTP/1.1 200"));
+            }
+            get(heir.close());
+        }
+    }
+}
