Sim runners taken out and put back by hand

Seen: calls to disable a runner got 404. RollTest and OperationsTest show that nothing is sent or probed there meanwhile and that a return is cold.

--- a/src/main/java/nettlewick/admin/AdminFront.java
+++ b/src/main/java/nettlewick/admin/AdminFront.java
@@ -1,5 +1,6 @@
 package nettlewick.admin;
 
+import io.vertx.core.Context;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
@@ -11,8 +12,12 @@
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
 import io.vertx.core.net.SocketAddress;
+import java.net.URLDecoder;
+import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashSet;
 import java.util.Set;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 /**
  * The operators' way in: one call a connection. Has an event loop and a listener of its own, so that neither
@@ -25,10 +30,12 @@
     private static final long PATIENCE = 4500;
     private static final int BODY_MOST = 4096;
     private static final int OK = 200;
+    private static final Pattern RUNNER = Pattern.compile("/-/sim-runners/([^/]+)/(disable|enable)");
 
     private final Operations operations;
     private final SocketAddress address;
     private final Vertx vertx;
+    private final Context loop;
     private final Set<HttpConnection> callers = new LinkedHashSet<>();
 
     public AdminFront(SocketAddress address, Operations operations) {
@@ -37,6 +44,7 @@
         vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1)
                 .setInternalBlockingPoolSize(1).setFileSystemOptions(new FileSystemOptions()
                         .setFileCachingEnabled(false).setClassPathResolvingEnabled(false)));
+        loop = vertx.getOrCreateContext();
     }
 
     /** Listens; the port that is held comes back. */
@@ -80,13 +88,19 @@
 
     private void call(HttpServerRequest request) {
         String path = String.valueOf(request.path());
-        HttpMethod wanted = path.equals("/-/ready") || path.equals("/-/metrics") ? HttpMethod.GET
-                : path.equals("/-/drain") || path.equals("/-/resume") ? HttpMethod.POST : null;
+        Matcher runner = RUNNER.matcher(path);
+        HttpMethod wanted = switch (path) {
+            case "/-/ready", "/-/metrics" -> HttpMethod.GET;
+            case "/-/drain", "/-/resume" -> HttpMethod.POST;
+            default -> runner.matches() ? HttpMethod.POST : null;
+        };
         if (wanted == null) {
             answer(request, 404, "no such call\n");
         } else if (!wanted.equals(request.method())) {
             request.response().putHeader("Allow", wanted.name());
             answer(request, 405, "this call comes by " + wanted + "\n");
+        } else if (runner.matches()) {
+            ban(request, runner.group(1), runner.group(2).equals("disable"));
         } else {
             switch (path) {
                 case "/-/ready" -> yes(request, operations.ready(), 503, "takes no clients\n");
@@ -97,6 +111,23 @@
         }
     }
 
+    private void ban(HttpServerRequest request, String encoded, boolean out) {
+        String id;
+        try {
+            id = URLDecoder.decode(encoded.replace("+", "%2B"), StandardCharsets.UTF_8);
+        } catch (IllegalArgumentException e) {
+            answer(request, 400, "the id is not percent-encoded\n");
+            return;
+        }
+        operations.ban(id, out).onComplete(done -> loop.runOnContext(v -> {
+            if (done.failed()) {
+                answer(request, 500, "cannot be stored: " + done.cause().getMessage() + "\n");
+            } else {
+                yes(request, done.result(), 404, "no such sim runner\n");
+            }
+        }));
+    }
+
     private static void yes(HttpServerRequest request, boolean yes, int otherwise, String why) {
         answer(request, yes ? OK : otherwise, yes ? "yes\n" : why);
     }
--- a/src/main/java/nettlewick/admin/Operations.java
+++ b/src/main/java/nettlewick/admin/Operations.java
@@ -1,5 +1,6 @@
 package nettlewick.admin;
 
+import io.vertx.core.Future;
 import nettlewick.core.Figures;
 
 /** What operators can ask of a dispatcher. Called on the operators' event loop; nothing here blocks. */
@@ -10,6 +11,9 @@
     /** The figures now. */
     Figures.Snapshot figures();
 
+    /** Takes a sim runner out, or puts it back; false if there is none of this id. In force once it is told. */
+    Future<Boolean> ban(String runner, boolean out);
+
     /** Sends clients away; false if this process ends anyway. */
     boolean drain();
 
--- a/src/main/java/nettlewick/core/Core.java
+++ b/src/main/java/nettlewick/core/Core.java
@@ -52,6 +52,7 @@
     private final Set<String> past = new LinkedHashSet<>();
     private final Set<String> ready = new HashSet<>();
     private final Set<String> known = new HashSet<>();
+    private final Set<String> banned = new HashSet<>();
     private List<Event> batch = new ArrayList<>();
     private double now;
     private double countedAt;
@@ -126,6 +127,18 @@
         inbox.add(() -> take(roster));
     }
 
+    /** An operator has taken a worker out, or put it back, at that time. */
+    public void ban(String worker, boolean out, double since) {
+        inbox.add(() -> {
+            if (out) {
+                banned.add(worker);
+            } else {
+                banned.remove(worker);
+            }
+            batch.add(new Ban(worker, out, nanos(since)));
+        });
+    }
+
     /** An attempt shows a sign of life. */
     public void progress(Attempt attempt, double share) {
         inbox.add(() -> {
@@ -407,7 +420,7 @@
             end(a, Attempt.Outcome.of(Result.MOOT), now);
         } else if (!known.contains(d.worker())) {
             end(a, Attempt.Outcome.of(Result.UNREACHABLE), now);
-        } else if (!ready.contains(d.worker())) {
+        } else if (!ready.contains(d.worker()) || banned.contains(d.worker())) {
             // Danger: sent to a runner that drains. It is looked at again here and before the first byte.
             end(a, Attempt.Outcome.of(Result.FULL), now);
         } else {
--- a/src/main/java/nettlewick/decision/Dispatcher.java
+++ b/src/main/java/nettlewick/decision/Dispatcher.java
@@ -140,7 +140,7 @@
     }
 
     /** News for the module. */
-    sealed interface Event permits WorkerList, ListFailed, Arrival, Outcome, StreamBegan, Abandoned, Progress,
+    sealed interface Event permits WorkerList, Ban, ListFailed, Arrival, Outcome, StreamBegan, Abandoned, Progress,
             ProbeAnswer, PeerMessage, Timer {
     }
 
@@ -148,6 +148,13 @@
     record WorkerList(boolean whole, List<WorkerEntry> entries) implements Event {
     }
 
+    /**
+     * An operator has taken a worker out, or put it back: nothing new goes there meanwhile, whatever the list
+     * says, and one that is back counts as started at {@code since}. Repeats and unknown workers are fine.
+     */
+    record Ban(String worker, boolean out, long since) implements Event {
+    }
+
     /** A subscription or a fetch of the list failed or broke; the old list stands. */
     record ListFailed() implements Event {
     }
--- a/src/main/java/nettlewick/decision/EventLoop.java
+++ b/src/main/java/nettlewick/decision/EventLoop.java
@@ -34,6 +34,8 @@
                 hear(e.rank(), e.data());
             } else if (event instanceof WorkerList e) {
                 learn(roll.heed(e));
+            } else if (event instanceof Ban e) {
+                learn(roll.heed(e));
             } else if (event instanceof ListFailed) {
                 listFailed();
             } else if (event instanceof Abandoned e) {
--- a/src/main/java/nettlewick/decision/Roll.java
+++ b/src/main/java/nettlewick/decision/Roll.java
@@ -1,30 +1,55 @@
 package nettlewick.decision;
 
+import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.function.Predicate;
+import nettlewick.decision.Dispatcher.Ban;
 import nettlewick.decision.Dispatcher.Life;
 import nettlewick.decision.Dispatcher.Rotation;
 import nettlewick.decision.Dispatcher.WorkerEntry;
 import nettlewick.decision.Dispatcher.WorkerList;
 
-/** The list of workers as it was told. */
+/** The list of workers as it was told, and what operators make of it: a banned worker counts as draining. */
 final class Roll {
     private final Map<String, WorkerEntry> told = new LinkedHashMap<>();
+    private final Map<String, Ban> bans = new HashMap<>();
 
-    /** Takes news over. */
+    /** Takes news of the list over; what the module should go by comes back. */
     WorkerList heed(WorkerList news) {
         if (news.whole()) {
             told.clear();
         }
+        List<WorkerEntry> seen = new ArrayList<>();
         for (WorkerEntry entry : news.entries()) {
             if (entry.life() == Life.GONE) {
                 told.remove(entry.worker());
             } else {
                 told.put(entry.worker(), entry);
             }
+            seen.add(seen(entry));
         }
-        return news;
+        return new WorkerList(news.whole(), seen);
+    }
+
+    /** Takes a ban or its end over. */
+    WorkerList heed(Ban ban) {
+        bans.put(ban.worker(), ban);
+        WorkerEntry entry = told.get(ban.worker());
+        return new WorkerList(false, entry == null ? List.of() : List.of(seen(entry)));
+    }
+
+    private WorkerEntry seen(WorkerEntry e) {
+        Ban ban = bans.get(e.worker());
+        if (ban == null || e.life() == Life.GONE) {
+            return e;
+        }
+        // Danger: a worker that is back was restarted meanwhile, and discovery may not know it yet. It is cold.
+        long startedAt = ban.out() ? e.startedAt() : Math.max(e.startedAt(), ban.since());
+        return new WorkerEntry(e.worker(), ban.out() ? Life.DRAINING : e.life(), startedAt, e.cell(), e.kind(),
+                e.zone(), e.size());
     }
 
     /** How many are on the list, and how many of them are avoided. */
--- a/src/main/java/nettlewick/net/Node.java
+++ b/src/main/java/nettlewick/net/Node.java
@@ -8,6 +8,7 @@
 import io.vertx.core.VertxOptions;
 import io.vertx.core.file.FileSystemOptions;
 import io.vertx.core.net.SocketAddress;
+import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
@@ -42,6 +43,8 @@
     private static final long TOLD = 1000;
     /** How often it is looked whether another process shares the limits. */
     private static final long SHARE = 500;
+    /** How often it is looked whether another process was called to take a sim runner out. */
+    private static final long BANS = 200;
     /** One descriptor in so many is for clients. */
     static final int CLIENTS_PART = 3;
     /** Connections accepted beyond those a front keeps: the front chooses which of them stays. */
@@ -53,6 +56,7 @@
     private final Clock clock;
     private final Vertx vertx;
     private final Succession succession;
+    private final BanStore bans;
     private final int clients;
     private final int perFront;
     private final AcceptGate gate;
@@ -77,6 +81,7 @@
     /** One that may share its address with an older or newer process; {@code succession} null: never. */
     public Node(Config config, Clock clock, Succession succession, Front.Maker... makers) {
         this.succession = succession;
+        bans = new BanStore(succession == null ? null : succession.file("bans.json"));
         this.makers = List.of(makers);
         this.config = config;
         this.clock = clock;
@@ -111,6 +116,8 @@
             Thread thread = new Thread(core, "core");
             thread.setDaemon(true);
             thread.start();
+            bans.news().forEach(this::heed);
+            vertx.setPeriodic(BANS, id -> bans.news().forEach(this::heed));
             Promise<Void> told = Promise.promise();
             watch = new ResolverWatch(vertx, config.discovery(), clock, news -> {
                 subchannels.update(news);
@@ -128,6 +135,26 @@
                 + config.listen().hostAddress() + ":" + ports.get(0)));
     }
 
+    /** Stored first, then in force, then the yes: a yes that a restart forgets would be none. */
+    private void take(String runner, boolean out, Promise<Boolean> done) {
+        if (!subchannels.lists(runner) && !bans.out(runner)) {
+            done.complete(false);
+            return;
+        }
+        try {
+            bans.set(runner, out, clock.now()).forEach(this::heed);
+            LOG.info("sim runner " + runner + (out ? " taken out by hand" : " put back by hand"));
+            done.complete(true);
+        } catch (IOException e) {
+            LOG.warning("cannot store that " + runner + (out ? " is out: " : " is back: ") + e);
+            done.fail(e);
+        }
+    }
+
+    private void heed(BanStore.Ban ban) {
+        subchannels.ban(ban.runner(), ban.out(), ban.since());
+    }
+
     /** Starts where nobody serves at this address: listens at once and says yes once warm. */
     private Future<Void> begin() {
         return listen().compose(all -> peers.listen(core::heard)).compose(all -> warmUp(ports.get(0)));
@@ -193,6 +220,13 @@
                 return core.figures().snapshot();
             }
 
+            @Override
+            public Future<Boolean> ban(String runner, boolean out) {
+                Promise<Boolean> done = Promise.promise();
+                loop.runOnContext(v -> take(runner, out, done));
+                return done.future();
+            }
+
             @Override
             public boolean drain() {
                 boolean drains = state.drain(clock.now());
--- a/src/main/java/nettlewick/net/Subchannel.java
+++ b/src/main/java/nettlewick/net/Subchannel.java
@@ -93,6 +93,7 @@
     private SocketAddress dial;
     private Life life = Life.GONE;
     private double startedAt;
+    private boolean banned;
     private int open;
 
     Subchannel(String host, Subchannels subchannels) {
@@ -113,13 +114,26 @@
         life = news.entry().life();
     }
 
+    /** Taken out by hand: nothing new starts here, no kept connection stays, calls in work end. */
+    void ban(boolean out) {
+        banned = out;
+        if (out) {
+            idle.closeAll();
+        }
+    }
+
     void gone() {
         life = Life.GONE;
         idle.closeAll();
     }
 
     boolean ready() {
-        return life == Life.READY;
+        return life == Life.READY && !banned;
+    }
+
+    /** Whether the runner is on the list. */
+    boolean listed() {
+        return life != Life.GONE;
     }
 
     boolean unused() {
--- a/src/main/java/nettlewick/net/Subchannels.java
+++ b/src/main/java/nettlewick/net/Subchannels.java
@@ -5,9 +5,11 @@
 import io.vertx.core.http.HttpClientAgent;
 import io.vertx.core.http.HttpClientOptions;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.IdentityHashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Set;
 import nettlewick.core.Attempt;
 import nettlewick.core.Clock;
 import nettlewick.core.Core;
@@ -29,6 +31,7 @@
     private final Map<String, Subchannel> all = new LinkedHashMap<>();
     private final Map<Object, Call> calls = new IdentityHashMap<>();
     private final Map<Call, Object> owners = new IdentityHashMap<>();
+    private final Set<String> banned = new HashSet<>();
     private final ReuseGauge gauge = new ReuseGauge();
     private Core core;
     private int open;
@@ -121,12 +124,32 @@
             missing.values().forEach(Subchannel::gone);
         }
         for (ResolverResult.Host h : news.hosts()) {
-            all.computeIfAbsent(h.entry().worker(), id -> new Subchannel(id, this)).update(h);
+            Subchannel s = all.computeIfAbsent(h.entry().worker(), id -> new Subchannel(id, this));
+            s.ban(banned.contains(s.host));
+            s.update(h);
         }
         all.values().removeIf(Subchannel::unused);
         core.learn(news.roster());
     }
 
+    /** Whether this runner is on the list. */
+    boolean lists(String runner) {
+        return all.containsKey(runner) && all.get(runner).listed();
+    }
+
+    /** An operator has taken a runner out, or put it back, at that time. */
+    void ban(String runner, boolean out, double since) {
+        if (out) {
+            banned.add(runner);
+        } else {
+            banned.remove(runner);
+        }
+        if (all.containsKey(runner)) {
+            all.get(runner).ban(out);
+        }
+        core.ban(runner, out, since);
+    }
+
     void over(Call call) {
         Object owner = owners.remove(call);
         if (owner != null) {
--- a/src/main/java/nettlewick/net/Succession.java
+++ b/src/main/java/nettlewick/net/Succession.java
@@ -54,6 +54,11 @@
         }
     }
 
+    /** A file that all processes of this dispatcher share. */
+    Path file(String name) {
+        return folder.resolve(prefix + name);
+    }
+
     /** From now on this process takes clients. */
     public void takesClients() {
         try {
--- /dev/null
+++ b/src/test/java/nettlewick/decision/RollTest.java
@@ -0,0 +1,55 @@
+package nettlewick.decision;
+
+import static nettlewick.decision.Samples.SECOND;
+import static nettlewick.decision.Samples.entry;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import nettlewick.decision.Dispatcher.*;
+import org.junit.jupiter.api.Test;
+
+/** What the module sees of the list while operators take workers out and put them back. */
+class RollTest {
+    private final Roll roll = new Roll();
+
+    private WorkerEntry told(Life life, long startedAt) {
+        return roll.heed(new WorkerList(false, List.of(entry("w", life, startedAt, "north", 0)))).entries().get(0);
+    }
+
+    @Test
+    void aBannedWorkerDrainsWhateverTheListSays() {
+        assertEquals(List.of(), roll.heed(new Ban("w", true, SECOND)).entries());
+        assertEquals(Life.DRAINING, told(Life.READY, 0).life());
+        roll.heed(new Ban("w", true, 2 * SECOND));
+        assertEquals(Life.GONE, told(Life.GONE, 0).life());
+        assertEquals(new Rotation(0, 0), roll.count(id -> true));
+        assertEquals(Life.DRAINING, told(Life.READY, 0).life());
+        assertEquals(new Rotation(1, 1), roll.count(id -> true));
+        assertEquals(Life.READY, roll.heed(new Ban("w", false, 3 * SECOND)).entries().get(0).life());
+    }
+
+    /** Guards against a full load for a worker that was restarted while it was out. */
+    @Test
+    void oneThatIsBackIsCold() {
+        roll.heed(new Ban("w", true, SECOND));
+        roll.heed(new Ban("w", false, 5 * SECOND));
+        assertEquals(5 * SECOND, told(Life.READY, 0).startedAt());
+        assertEquals(5 * SECOND, told(Life.READY, 4 * SECOND).startedAt());
+        assertEquals(6 * SECOND, told(Life.READY, 6 * SECOND).startedAt());
+        assertEquals(Life.DRAINING, told(Life.DRAINING, 0).life());
+    }
+
+    @Test
+    void theModuleSendsAndProbesNothingThere() {
+        Dispatcher module = Dispatcher.create(Samples.settings(0, 1, true), 1);
+        module.handle(1, List.of(Samples.workers(2), new Ban("w0", true, 1)));
+        for (int i = 0; i < 40; i++) {
+            List<Action> actions = module.handle(1 + i * SECOND / 10, List.of(new Timer("beat"),
+                    Samples.answer("w1", 4, 0), Samples.arrival("j" + i, "read", "red")));
+            assertTrue(actions.stream().noneMatch(a -> a instanceof Dispatch d && d.worker().equals("w0")
+                    || a instanceof Probe p && p.worker().equals("w0")), actions.toString());
+        }
+        assertEquals(new Rotation(2, 1), module.rotation());
+    }
+}
--- a/src/test/java/nettlewick/net/OperationsTest.java
+++ b/src/test/java/nettlewick/net/OperationsTest.java
@@ -4,12 +4,15 @@
 import static nettlewick.net.StandIns.until;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.vertx.core.buffer.Buffer;
 import java.io.IOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -18,6 +21,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
 
 /** What operators can ask of a whole dispatcher on loopback. */
 @Timeout(30)
@@ -138,6 +142,51 @@
         assertTrue(kept.contains("r-kept"), kept);
     }
 
+    /** Guards against work for a runner that is being repaired, whatever discovery says meanwhile. */
+    @Test
+    void aRunnerTakenOutGetsNothingUntilItIsPutBack() throws Exception {
+        world.addRunner("s-2");
+        int port = start();
+        assertTrue(call("POST", "/-/sim-runners/s-9/disable").startsWith("404"));
+        assertTrue(call("GET", "/-/sim-runners/s-1/disable").startsWith("405"));
+        for (int i = 0; i < 2; i++) {
+            assertTrue(call("POST", "/-/sim-runners/s-1/disable").startsWith("200"));
+        }
+        world.tell("s-1", "Ready");
+        until(() -> call("GET", "/-/metrics").contains("router.out_of_rotation=1\n"));
+        for (int i = 0; i < 20; i++) {
+            assertTrue(talk(port, job("/api", "b" + i, "step-view", "", "Connection: close")).contains("r-b"));
+        }
+        assertTrue(world.seen.stream().noneMatch(line -> line.startsWith("s-1 ")), world.seen.toString());
+        assertTrue(call("POST", "/-/sim-runners/s-1/enable").startsWith("200"));
+        until(() -> call("GET", "/-/metrics").contains("router.out_of_rotation=0\n"));
+        assertTrue(call("POST", "/-/sim-runners/s-2/disable").startsWith("200"));
+        until(() -> {
+            talk(port, job("/api", "c" + System.nanoTime(), "step-view", "", "Connection: close"));
+            return world.seen.stream().anyMatch(line -> line.startsWith("s-1 "));
+        });
+    }
+
+    @Test
+    void bansAreSharedByAFileAndOutliveTheirProcess(@TempDir Path dir) throws Exception {
+        Path file = dir.resolve("bans.json");
+        BanStore one = new BanStore(file);
+        BanStore other = new BanStore(file);
+        assertEquals(1, one.set("s-1", true, 10).size());
+        assertEquals(0, one.set("s-1", true, 20).size());
+        assertEquals(List.of(new BanStore.Ban("s-1", true, 10)), other.news());
+        other.set("s-2", true, 30);
+        other.set("s-1", false, 40);
+        assertEquals(2, one.news().size());
+        assertTrue(one.out("s-2") && !one.out("s-1"));
+        Files.writeString(file, "{\"bans\":[{\"runner\":7}]}");
+        assertEquals(List.of(), one.news());
+        assertTrue(one.out("s-2"), "what cannot be read brings nobody back");
+        BanStore none = new BanStore(dir.resolve("no/where"));
+        assertThrows(IOException.class, () -> none.set("s-1", true, 1));
+        assertFalse(none.out("s-1"));
+    }
+
     @Test
     void onlyAnEndIsFinal() {
         ServiceState state = new ServiceState();
