--- a/src/main/java/nettlewick/admin/Operations.java
+++ b/src/main/java/nettlewick/admin/Operations.java
@@ -11,7 +11,7 @@
     /** The figures now. */
     Figures.Snapshot figures();
 
-    /** Takes a sim runner out, or puts it back; false if there is none of this id. In force once it is told. */
+    /** Takes a sim runner out, or puts it back; false if none has this id. In force once it is told. */
     Future<Boolean> ban(String runner, boolean out);
 
     /** Sends clients away; false if this process ends anyway. */
--- a/src/main/java/nettlewick/decision/Dispatcher.java
+++ b/src/main/java/nettlewick/decision/Dispatcher.java
@@ -140,8 +140,8 @@
     }
 
     /** News for the module. */
-    sealed interface Event permits WorkerList, Ban, ListFailed, Arrival, Outcome, StreamBegan, Abandoned, Progress,
-            ProbeAnswer, PeerMessage, Timer {
+    sealed interface Event permits WorkerList, Ban, ListFailed, Arrival, Outcome, StreamBegan, Abandoned,
+            Progress, ProbeAnswer, PeerMessage, Timer {
     }
 
     /** The list of workers: whole (what is missing is gone) or only what changed. */
--- a/src/main/java/nettlewick/decision/Roll.java
+++ b/src/main/java/nettlewick/decision/Roll.java
@@ -46,10 +46,10 @@
         if (ban == null || e.life() == Life.GONE) {
             return e;
         }
-        // Danger: a worker that is back was restarted meanwhile, and discovery may not know it yet. It is cold.
+        // Danger: a worker that is back was restarted meanwhile; discovery may not know yet that it is cold.
         long startedAt = ban.out() ? e.startedAt() : Math.max(e.startedAt(), ban.since());
-        return new WorkerEntry(e.worker(), ban.out() ? Life.DRAINING : e.life(), startedAt, e.cell(), e.kind(),
-                e.zone(), e.size());
+        return new WorkerEntry(e.worker(), ban.out() ? Life.DRAINING : e.life(), startedAt, e.cell(),
+                e.kind(), e.zone(), e.size());
     }
 
     /** How many are on the list, and how many of them are avoided. */
--- a/src/main/java/nettlewick/net/BanStore.java
+++ b/src/main/java/nettlewick/net/BanStore.java
@@ -23,7 +23,7 @@
  */
 final class BanStore {
     private static final Logger LOG = Logger.getLogger("bans");
-    /** How long a return is remembered: a process that starts meanwhile has to know that the runner is cold. */
+    /** How long a return is remembered: a process that starts meanwhile has to know of a cold runner. */
     private static final double RETURN_KEPT = 60_000;
     private static final double LATEST = 1e15;
 
