A sim runner put back by hand gets the next light job that is harmless

Ruled out: the call (0 wrong), the ban kept too long (the log tells of its end at once). At fault: Logic.choose goes to the own zone while it has room, and Logic.learn starts a cold worker in debt. RollTest shows the choice and failed before it.

--- a/src/main/java/nettlewick/decision/EventLoop.java
+++ b/src/main/java/nettlewick/decision/EventLoop.java
@@ -7,7 +7,7 @@
 abstract class EventLoop implements Dispatcher {
     /** The clock of the batch; it never goes back, whatever the host says. */
     protected long now;
-    private final Roll roll = new Roll();
+    protected final Roll roll = new Roll();
     private List<Action> actions = new ArrayList<>();
     private boolean started;
 
--- a/src/main/java/nettlewick/decision/Logic.java
+++ b/src/main/java/nettlewick/decision/Logic.java
@@ -130,7 +130,8 @@
             if (w.entry == null || entry.startedAt() != w.entry.startedAt()) {
                 w.forget();
                 w.coldAt = now;
-                w.coldTokens = -random.nextDouble() * meanCost.value;
+                double debt = random.nextDouble() * meanCost.value;
+                w.coldTokens = roll.back(w.id) ? Double.MIN_NORMAL : -debt;
             }
             w.entry = entry;
             w.kind = settings.kinds().indexOf(entry.kind());
@@ -366,6 +367,13 @@
     private Worker choose(Job job) {
         Pool pool = pools.get(job.kind.kind() + 1);
         roomy = true;
+        for (Worker w : pool.ready) {
+            // Exception: one put back by hand would stay unused while the own zone has room.
+            if (roll.back(w.id) && w.out.isEmpty() && job.cost <= meanCost.value && job.attempts.isEmpty()
+                    && job.kind.repeat() != Repeat.FRAGILE && usable(job, w)) {
+                return w;
+            }
+        }
         Worker home = job.arrival.key() == null ? null : home(job, pool);
         if (home != null && (roomy || awayTokens < 1)) {
             return home;
@@ -496,6 +504,7 @@
             a.worker.ended(a);
             if (e.result() == Result.SERVED) {
                 outliers.ran(a, now);
+                roll.served(e.worker());
             }
         }
         if (e.result() == Result.SERVED && !job.over) {
--- a/src/main/java/nettlewick/decision/Roll.java
+++ b/src/main/java/nettlewick/decision/Roll.java
@@ -2,9 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Predicate;
 import nettlewick.decision.Dispatcher.Ban;
 import nettlewick.decision.Dispatcher.Life;
@@ -17,6 +19,9 @@
     private final Map<String, WorkerEntry> told = new LinkedHashMap<>();
     private final Map<String, Ban> bans = new HashMap<>();
 
+    /** Put back by operators, and not seen at work since. */
+    private final Set<String> back = new HashSet<>();
+
     /** Takes news of the list over; what the module should go by comes back. */
     WorkerList heed(WorkerList news) {
         if (news.whole()) {
@@ -37,10 +42,24 @@
     /** Takes a ban or its end over. */
     WorkerList heed(Ban ban) {
         bans.put(ban.worker(), ban);
+        if (ban.out()) {
+            back.remove(ban.worker());
+        } else {
+            back.add(ban.worker());
+        }
         WorkerEntry entry = told.get(ban.worker());
         return new WorkerList(false, entry == null ? List.of() : List.of(seen(entry)));
     }
 
+    /** Whether operators have put this worker back and it has served nothing since. */
+    boolean back(String worker) {
+        return back.contains(worker);
+    }
+
+    void served(String worker) {
+        back.remove(worker);
+    }
+
     private WorkerEntry seen(WorkerEntry e) {
         Ban ban = bans.get(e.worker());
         if (ban == null || e.life() == Life.GONE) {
--- a/src/test/java/nettlewick/decision/RollTest.java
+++ b/src/test/java/nettlewick/decision/RollTest.java
@@ -40,6 +40,19 @@
         assertEquals(Life.DRAINING, told(Life.DRAINING, 0).life());
     }
 
+    /** Guards against one that stays unused after its return while others have more room. */
+    @Test
+    void oneThatIsBackGetsTheNextHarmlessJob() {
+        Dispatcher module = Dispatcher.create(Samples.settings(0, 1, true), 1);
+        module.handle(1, List.of(Samples.workers(4), Samples.answer("w0", 9, 0), Samples.answer("w2", 9, 0),
+                new Ban("w1", true, 1), Samples.arrival("a", "read", "red")));
+        List<Action> actions = module.handle(SECOND, List.of(new Ban("w1", false, SECOND),
+                Samples.answer("w0", 9, 0), Samples.arrival("b", "book", "red"), Samples.arrival("c", "read", "red"),
+                Samples.arrival("d", "read", "red")));
+        assertEquals(List.of(false, true, false), Samples.only(Dispatch.class, actions).stream()
+                .map(d -> d.worker().equals("w1")).toList());
+    }
+
     @Test
     void theModuleSendsAndProbesNothingThere() {
         Dispatcher module = Dispatcher.create(Samples.settings(0, 1, true), 1);
