--- a/src/main/java/nettlewick/decision/Logic.java
+++ b/src/main/java/nettlewick/decision/Logic.java
@@ -33,8 +33,6 @@
     private static final int POOL_MOST = 24;
     /** Probes for each arrival. */
     private static final double PROBES_PER_ARRIVAL = 3;
-    /** A silent worker is left after this many expected job times of silence, summed over its attempts. */
-    private static final double SILENCE = 5;
     /** A friend asks after this many silent Δ and inherits after twice as many. */
     private static final int FRIEND_PATIENCE = 3;
     /** Workers on the hash ring that a key's jobs are kept to while one of them has room. */
@@ -324,11 +322,6 @@
         return job.kind.aim() + job.kind.stretch() * work(job);
     }
 
-    /** Whether one more attempt that finds a free slot now can still end within the job's patience. */
-    private boolean inTime(Job job) {
-        return now + work(job) <= job.arrivedAt + patience(job);
-    }
-
     private boolean worthy(Job job) {
         return job.density() > WORTHY * meanDensity.value;
     }
@@ -483,7 +476,8 @@
             w.signAt = now;
         }
         w.sent(a);
-        w.coldTokens -= job.cost;
+        // Danger: hints are rough, and many light jobs weigh on a cold worker more than their hints say.
+        w.coldTokens -= Math.max(job.cost, meanCost.value / 2);
         act(new Dispatch(job.arrival.id(), w.id, 0));
     }
 
@@ -556,12 +550,7 @@
             outliers.alive(w, now);
             Job job = jobs.get(e.id());
             if (job != null && e.attempt() >= 0 && e.attempt() < job.attempts.size()) {
-                Attempt a = job.attempts.get(e.attempt());
-                Outliers.sign(a, e.share() <= 0, now);
-                // Danger: a worker that is slowed goes on telling, and would be waited for until it is late.
-                if (Outliers.endsAt(a, e.share(), now) > job.arrivedAt + patience(job) && inTime(job)) {
-                    rescue(a);
-                }
+                Outliers.sign(job.attempts.get(e.attempt()), e.share() <= 0, now);
             }
         }
     }
@@ -590,19 +579,27 @@
         for (Worker w : workers.values()) {
             for (Attempt a : List.copyOf(w.out)) {
                 if (Outliers.lost(a, now, settings.progress())) {
-                    w.lose(a);
-                    rescue(a);
-                } else if (Outliers.overdue(a, now) && inTime(a.job)) {
+                    outliers.lose(a);
                     rescue(a);
+                } else if (Outliers.overdue(a, now)) {
+                    hedge(a);
                 }
             }
-            if (now >= w.shunnedUntil && Outliers.silence(w, now, pace, BEAT) > SILENCE) {
+            if (now >= w.shunnedUntil && Outliers.silent(w, now, pace, BEAT)) {
                 outliers.shun(w, now);
                 List.copyOf(w.out).forEach(this::rescue);
             }
         }
     }
 
+    /** A second copy on suspicion alone, where one that finds a free slot now can still be in time. */
+    private void hedge(Attempt a) {
+        if (now + work(a.job) <= a.job.arrivedAt + patience(a.job) && outliers.affordsCopy()) {
+            rescue(a);
+            outliers.copied(a.rescued);
+        }
+    }
+
     /** A job stuck at a silent worker goes out again once, where its class allows. */
     private void rescue(Attempt a) {
         if (a.rescued || a.job.over || a.job.kind.repeat() == Repeat.FRAGILE) {
--- a/src/main/java/nettlewick/decision/Outliers.java
+++ b/src/main/java/nettlewick/decision/Outliers.java
@@ -34,8 +34,15 @@
     /** Jobs from which on that is believed. */
     private static final int BELIEVED = 3;
 
+    /** A silent worker is left after this many expected job times of silence, summed over its attempts. */
+    private static final double SILENCE = 5;
+    /** Second copies on suspicion that each lost attempt allows, and how many may be saved up. */
+    private static final int COPIES = 2;
+    private static final int COPIES_MOST = 6;
+
     private final Supplier<List<Worker>> ready;
     private final Mean fleetDrag = new Mean(100);
+    private int copies;
     /** Share of connections that break, over the whole fleet. */
     private final Mean breaks = new Mean(100);
 
@@ -116,21 +123,30 @@
         return a.roomy && a.startedAt == State.NEVER && now - a.sentAt > START;
     }
 
-    /** When an attempt that has done this share will end, at the pace it has shown. */
-    static long endsAt(Attempt a, double share, long now) {
-        return a.startedAt == State.NEVER || share <= 0 ? now
-                : a.startedAt + (long) ((now - a.startedAt) / share);
+    /** An attempt is lost: its slot is free, as far as can be told. */
+    void lose(Attempt a) {
+        copies = Math.min(copies + (a.lost ? 0 : COPIES), COPIES_MOST);
+        a.worker.lose(a);
+    }
+
+    /** Danger: copies on suspicion multiply where all is slow. They are earned by what is surely lost. */
+    boolean affordsCopy() {
+        return copies >= 1;
+    }
+
+    void copied(boolean sent) {
+        copies -= sent ? 1 : 0;
     }
 
-    /** How long a worker has been silent: in expected job times, summed over what is out there. */
-    static double silence(Worker w, long now, Mean[] pace, long least) {
+    /** Whether a worker has been silent too long: in expected job times, summed over what is out there. */
+    static boolean silent(Worker w, long now, Mean[] pace, long least) {
         double silence = 0;
         for (Attempt a : w.out) {
             double expected = Math.max(pace[a.job.index].value, a.job.arrival.hint());
             long silent = now - Math.max(a.sentAt, w.signAt);
             silence += expected <= 0 ? 0 : silent / Math.max(expected, least);
         }
-        return silence;
+        return silence > SILENCE;
     }
 
     /** An attempt was served: compares how long it ran with its hint. */
