A dispatcher that has just started uses cold sim runners too

Changed: until four Δ are measured a warm worker is taken to carry half of its slots, shared by all dispatchers; a worker first seen before any job owes up to 0.1 s of work. Not kept: a first measure that counts whole, which broke RulesTest's bound for cold workers.

--- a/src/main/java/nettlewick/decision/ColdStart.java
+++ b/src/main/java/nettlewick/decision/ColdStart.java
@@ -9,16 +9,33 @@
     /** Part of a cold worker's allowed load that all dispatchers together aim at. */
     private static final double PART = 0.4;
 
+    /** Part of its slots that a warm worker is taken to be busy with, until its load is measured. */
+    private static final double BUSY = 0.5;
+    /** Measures until which that is the least: the first ones see jobs come, but hardly any end. */
+    private static final int MEASURES = 4;
+
     private final Rules rules;
+    private final int fleetSize;
 
-    ColdStart(Rules rules) {
+    ColdStart(Rules rules, int fleetSize) {
         this.rules = rules;
+        this.fleetSize = fleetSize;
     }
 
     boolean cold(Worker w, long now) {
         return w.entry.startedAt() > 0 && now - w.entry.startedAt() < rules.cold();
     }
 
+    /**
+     * What a warm worker carries for this dispatcher. Danger: one that has just started has seen nothing
+     * carried. While sim runners are released it would take most of them for cold and forbidden, and pile its
+     * jobs on the few others.
+     */
+    private double carried(Pool pool) {
+        double guess = BUSY * Math.max(1, pool.slots) / fleetSize;
+        return pool.measures < MEASURES ? Math.max(pool.carried, guess) : pool.carried;
+    }
+
     /** Whether one more job may go there; {@code most} bounds the credit that piles up. */
     boolean allows(Worker w, Pool pool, double most, long now) {
         if (!cold(w, now)) {
@@ -28,7 +45,7 @@
         // its own part of what warm peers carry, ramped by age; credit never piles up into a burst.
         double age = (double) Math.max(0, now - w.entry.startedAt()) / rules.cold();
         double ramp = rules.coldShare() + (1 - rules.coldShare()) * age;
-        double rate = PART * rules.overloadFactor() * pool.carried * ramp;
+        double rate = PART * rules.overloadFactor() * carried(pool) * ramp;
         w.coldTokens = Math.min(w.coldTokens + rate * (now - w.coldAt) / 1e9, most);
         w.coldAt = now;
         return w.coldTokens > 0;
--- a/src/main/java/nettlewick/decision/Logic.java
+++ b/src/main/java/nettlewick/decision/Logic.java
@@ -56,6 +56,8 @@
     private static final long HOLD = BEAT / 8;
     /** Exception: slots of a kind that worthier jobs are bound to, kept from jobs that may go elsewhere. */
     private static final double RESERVE = 1;
+    /** Seconds of work that a cold worker owes before its first job, at most, where no job has been seen. */
+    private static final double LEAST_DEBT = 0.1;
     private static final double GOLDEN = 0.6180339887498949;
 
     private final Settings settings;
@@ -78,7 +80,7 @@
 
     Logic(Settings settings, long seed) {
         this.settings = settings;
-        coldStart = new ColdStart(settings.rules());
+        coldStart = new ColdStart(settings.rules(), settings.fleetSize());
         random = new SplittableRandom(seed);
         epoch = random.nextInt();
         loads = new SharedLoads(settings.fleetSize() - 1);
@@ -128,7 +130,7 @@
             if (w.entry == null || entry.startedAt() != w.entry.startedAt()) {
                 w.forget();
                 w.coldAt = now;
-                double debt = random.nextDouble() * meanCost.value;
+                double debt = random.nextDouble() * Math.max(meanCost.value, LEAST_DEBT);
                 w.coldTokens = roll.back(w.id) ? Double.MIN_NORMAL : -debt;
             }
             w.entry = entry;
@@ -621,6 +623,7 @@
         for (Pool pool : pools) {
             long warm = pool.ready.stream().filter(w -> !coldStart.cold(w, now)).count();
             if (warm > 0) {
+                pool.measures++;
                 pool.carried += (pool.served * 1e9 / DELTA / warm - pool.carried) / 4;
             }
             pool.served = 0;
--- a/src/main/java/nettlewick/decision/State.java
+++ b/src/main/java/nettlewick/decision/State.java
@@ -207,6 +207,8 @@
         /** Work finished for this dispatcher since the last Δ, and a warm worker's part of it a second. */
         double served;
         double carried;
+        /** How often that was measured. */
+        int measures;
         /** Most free slots that a worker of the kind was seen to have. */
         double slots;
 
--- a/src/test/java/nettlewick/decision/LogicTest.java
+++ b/src/test/java/nettlewick/decision/LogicTest.java
@@ -85,6 +85,22 @@
         assertEquals(lost, !Samples.only(Dispatch.class, at(now, new Timer("beat"))).isEmpty());
     }
 
+    /** Guards against a dispatcher that started into a release and leaves all workers that are cold alone. */
+    @Test
+    void oneThatHasJustStartedUsesColdWorkersToo() {
+        at(10 * Samples.SECOND, new WorkerList(true, List.of(Samples.entry("w0", Life.READY, 0, "north", 0),
+                Samples.entry("w1", Life.READY, 8 * Samples.SECOND, "north", 0))));
+        answers(2, 0, 2);
+        Set<String> used = new HashSet<>();
+        for (int i = 0; i < 6; i++) {
+            now += 100 * Samples.MS;
+            answers(2, 0, 2);
+            Samples.only(Dispatch.class, at(now, new Arrival("c" + i, "read", "red", 5 * Samples.SECOND, 1, 0,
+                    100 * Samples.MS, null, false))).forEach(d -> used.add(d.worker()));
+        }
+        assertEquals(Set.of("w0", "w1"), used);
+    }
+
     @Test
     void theOwnZoneComesFirstWhileItHasRoom() {
         at(1, Samples.workers(8));
