The probe pool takes from other zones what a small own zone lacks

At fault: Logic.fill, which gives the own zone 8 places though it has 3 runners, and the others 6. LogicTest fails without it (9 of 12 watched).

--- a/src/main/java/nettlewick/decision/ColdStart.java
+++ b/src/main/java/nettlewick/decision/ColdStart.java
@@ -14,6 +14,9 @@
     /** Measures until which that is the least: the first ones see jobs come, but hardly any end. */
     private static final int MEASURES = 4;
 
+    /** What it owes where no job has been seen yet. */
+    private static final double LEAST_DEBT = 0.1;
+
     private final Rules rules;
     private final int fleetSize;
 
@@ -22,6 +25,11 @@
         this.fleetSize = fleetSize;
     }
 
+    /** Seconds of work that a worker first seen owes at most before its first job. */
+    static double debt(double meanCost) {
+        return Math.max(meanCost, LEAST_DEBT);
+    }
+
     boolean cold(Worker w, long now) {
         return w.entry.startedAt() > 0 && now - w.entry.startedAt() < rules.cold();
     }
--- a/src/main/java/nettlewick/decision/Logic.java
+++ b/src/main/java/nettlewick/decision/Logic.java
@@ -56,8 +56,6 @@
     private static final long HOLD = BEAT / 8;
     /** Exception: slots of a kind that worthier jobs are bound to, kept from jobs that may go elsewhere. */
     private static final double RESERVE = 1;
-    /** Seconds of work that a cold worker owes before its first job, at most, where no job has been seen. */
-    private static final double LEAST_DEBT = 0.1;
     private static final double GOLDEN = 0.6180339887498949;
 
     private final Settings settings;
@@ -130,7 +128,7 @@
             if (w.entry == null || entry.startedAt() != w.entry.startedAt()) {
                 w.forget();
                 w.coldAt = now;
-                double debt = random.nextDouble() * Math.max(meanCost.value, LEAST_DEBT);
+                double debt = random.nextDouble() * ColdStart.debt(meanCost.value);
                 w.coldTokens = roll.back(w.id) ? Double.MIN_NORMAL : -debt;
             }
             w.entry = entry;
@@ -162,7 +160,9 @@
         int size = (int) Math.min(POOL_MOST, Math.max(POOL_LEAST, Math.ceil(POOL_PARTS * part)));
         pool.members = new ArrayList<>();
         stretch(pool.near, size, pool.members);
-        stretch(pool.far, pool.near.isEmpty() ? size : (2 * size + 2) / 3, pool.members);
+        // Danger: a small zone leaves the pool small, and machines that nobody watches idle through a jam.
+        int more = pool.near.isEmpty() ? size : (2 * size + 2) / 3 + Math.max(0, size - pool.near.size());
+        stretch(pool.far, more, pool.members);
     }
 
     /** Danger: alike pools herd dispatchers. Each begins at its own place, spread by the golden ratio. */
--- a/src/test/java/nettlewick/decision/LogicTest.java
+++ b/src/test/java/nettlewick/decision/LogicTest.java
@@ -101,6 +101,25 @@
         assertEquals(Set.of("w0", "w1"), used);
     }
 
+    /** Guards against machines of other zones that nobody watches, and that idle while the watched ones jam. */
+    @Test
+    void aSmallZonesPoolIsFilledFromTheOthers() {
+        List<WorkerEntry> twelve = new ArrayList<>();
+        for (int i = 0; i < 12; i++) {
+            twelve.add(Samples.entry("w" + i, Life.READY, 0, i < 3 ? "north" : "south" + i % 3, i));
+        }
+        at(1, new WorkerList(true, twelve));
+        Set<String> asked = new HashSet<>();
+        for (int beat = 1; beat <= 60; beat++) {
+            for (Probe p : Samples.only(Probe.class, at(1 + beat * 100 * Samples.MS, new Timer("beat"),
+                    Samples.arrival("p" + beat, "read", "red")))) {
+                asked.add(p.worker());
+                at(now, Samples.answer(p.worker(), 2, 0));
+            }
+        }
+        assertEquals(12, asked.size());
+    }
+
     @Test
     void theOwnZoneComesFirstWhileItHasRoom() {
         at(1, Samples.workers(8));
