--- a/src/test/java/nettlewick/net/ClientGuardTest.java
+++ b/src/test/java/nettlewick/net/ClientGuardTest.java
@@ -102,6 +102,22 @@
         assertTrue(answers().startsWith("HTTP/1.1 400 "));
     }
 
+    /** Guards against a cut inside a line, a length or a character that costs a usual client its job. */
+    @ParameterizedTest
+    @ValueSource(strings = {"Content-Length: 5\r\n\r\né✓", "Transfer-Encoding: chunked\r\n\r\n5\r\né✓\r\n0\r\n\r\n"})
+    void aRequestMayBeCutAnywhere(String rest) {
+        byte[] request = ("POST /a HTTP/1.1\r\nX: y\r\n" + rest).getBytes(StandardCharsets.UTF_8);
+        for (int cut = 1; cut < request.length; cut++) {
+            ClientGuard one = new ClientGuard(clock, new ClientGuard.Budget(100));
+            EmbeddedChannel through = new EmbeddedChannel(new StrictDecoder(new HttpServerOptions(), one::bytes), one);
+            through.writeInbound(Unpooled.copiedBuffer(request, 0, cut));
+            through.writeInbound(Unpooled.copiedBuffer(request, cut, request.length - cut));
+            assertEquals("/a", ((HttpRequest) through.readInbound()).uri(), "cut at " + cut);
+            LastHttpContent body = through.readInbound();
+            assertEquals("é✓", body.content().toString(StandardCharsets.UTF_8), "cut at " + cut);
+        }
+    }
+
     @Test
     void halfARequestFollowedByACloseDispatchesNothing() {
         send("POST /a HTTP/1.1\r\nContent-Length: 5\r\n\r\nabc");
--- /dev/null
+++ b/src/test/java/nettlewick/net/PiecesTest.java
@@ -0,0 +1,158 @@
+package nettlewick.net;
+
+import static nettlewick.net.StandIns.get;
+import static nettlewick.net.StandIns.job;
+import static nettlewick.net.StandIns.until;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.net.NetServer;
+import io.vertx.core.net.NetSocket;
+import io.vertx.core.net.SocketAddress;
+import java.io.OutputStream;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import nettlewick.admin.AdminFront;
+import nettlewick.admin.Operations;
+import nettlewick.core.Clock;
+import nettlewick.core.Figures;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Messages that come in two pieces, cut at every byte there is: inside a line, a length, a character. */
+@Timeout(60)
+class PiecesTest {
+    private static final String OK = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    private final Vertx vertx = Vertx.vertx();
+
+    @AfterEach
+    void close() throws Exception {
+        get(vertx.close());
+    }
+
+    private static Buffer chunk(String line) {
+        Buffer text = Buffer.buffer(line + "\n");
+        return Buffer.buffer(Integer.toHexString(text.length()) + "\r\n").appendBuffer(text).appendString("\r\n");
+    }
+
+    private void write(NetSocket to, Buffer bytes, int cut) {
+        to.write(bytes.slice(0, cut));
+        vertx.setTimer(1, id -> to.write(bytes.slice(cut, bytes.length())));
+    }
+
+    private static void write(Socket to, byte[] bytes, int cut) throws Exception {
+        to.setTcpNoDelay(true);
+        OutputStream out = to.getOutputStream();
+        out.write(bytes, 0, cut);
+        out.flush();
+        TimeUnit.MILLISECONDS.sleep(1);
+        out.write(bytes, cut, bytes.length - cut);
+    }
+
+    @Test
+    void aRunnersAnswerMayBeCutAnywhere() throws Exception {
+        Buffer answer = Buffer.buffer(OK).appendBuffer(chunk("{\"state\":\"started\"}"))
+                .appendBuffer(chunk("{\"state\":\"done\",\"result\":\"é✓\"}")).appendString("0\r\n\r\n");
+        AtomicInteger cut = new AtomicInteger(1);
+        NetServer runner = vertx.createNetServer().connectHandler(socket -> {
+            socket.exceptionHandler(e -> { });
+            socket.handler(request -> {
+                if (request.toString().startsWith("GET")) {
+                    socket.write("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nx0=4,x1=4");
+                } else {
+                    write(socket, answer, cut.get());
+                }
+            });
+        });
+        get(runner.listen(0, "127.0.0.1"));
+        try (StandIns world = new StandIns()) {
+            world.addRunner("s-1", runner.actualPort());
+            int port = world.start().ports().get(0);
+            for (; cut.get() < answer.length(); cut.incrementAndGet()) {
+                try (Socket client = new Socket("127.0.0.1", port)) {
+                    client.getOutputStream().write(job("/api", "c" + cut, "mark-submit", "",
+                            "Connection: close").getBytes());
+                    String got = new String(client.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+                    assertTrue(got.endsWith("\r\n\r\né✓"), "cut at " + cut + ": " + got);
+                }
+            }
+        }
+    }
+
+    @Test
+    void discoverysListMayBeCutAnywhere() throws Exception {
+        String list = "{\"seq\":1,\"whole\":true,\"hosts\":[{\"host\":\"s-é✓\",\"dial\":\"127.0.0.1:1\","
+                + "\"health\":\"Ready\"}]}";
+        Buffer answer = Buffer.buffer(OK).appendBuffer(chunk(list)).appendBuffer(chunk(""));
+        AtomicInteger cut = new AtomicInteger();
+        NetServer discovery = vertx.createNetServer().connectHandler(socket -> {
+            socket.exceptionHandler(e -> { });
+            socket.handler(request -> write(socket, answer, cut.incrementAndGet()));
+        });
+        get(discovery.listen(0, "127.0.0.1"));
+        SocketAddress at = SocketAddress.inetSocketAddress(discovery.actualPort(), "127.0.0.1");
+        List<String> told = new CopyOnWriteArrayList<>();
+        for (int i = 1; i < answer.length(); i++) {
+            ResolverWatch watch = new ResolverWatch(vertx, at, Clock.standing(0),
+                    news -> told.add(news.hosts().get(0).entry().worker()));
+            watch.start(null);
+            int wanted = i;
+            until(() -> told.size() >= wanted);
+            watch.stop();
+        }
+        assertEquals(List.of("s-é✓"), told.stream().distinct().toList());
+    }
+
+    @Test
+    void anOperatorsCallMayBeCutAnywhere() throws Exception {
+        List<String> calls = new CopyOnWriteArrayList<>();
+        AdminFront front = new AdminFront(SocketAddress.inetSocketAddress(0, "127.0.0.1"), new Operations() {
+            @Override
+            public boolean ready() {
+                return true;
+            }
+
+            @Override
+            public Figures.Snapshot figures() {
+                return null;
+            }
+
+            @Override
+            public Future<Boolean> ban(String runner, boolean out) {
+                calls.add(runner + out);
+                return Future.succeededFuture(true);
+            }
+
+            @Override
+            public boolean drain() {
+                return false;
+            }
+
+            @Override
+            public boolean resume() {
+                return false;
+            }
+        });
+        int port = get(front.listen());
+        byte[] call = "POST /-/sim-runners/s-%C3%A9/disable HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\nab"
+                .getBytes(StandardCharsets.US_ASCII);
+        for (int cut = 1; cut < call.length; cut++) {
+            try (Socket caller = new Socket("127.0.0.1", port)) {
+                write(caller, call, cut);
+                assertEquals("HTTP/1.1 200", new String(caller.getInputStream().readNBytes(12),
+                        StandardCharsets.US_ASCII), "cut at " + cut);
+            }
+            assertEquals(cut, calls.size());
+        }
+        assertEquals(List.of("s-étrue"), calls.stream().distinct().toList());
+        get(front.close());
+    }
+}
