--- a/src/main/java/nettlewick/decision/Logic.java
+++ b/src/main/java/nettlewick/decision/Logic.java
@@ -226,7 +226,7 @@
     private void admit(Job job) {
         credit();
         Worker w = choose(job);
-        if (!roomy && (job.tenure.credit <= 0 || w != null && !worthy(job) && hopeless(job, w))) {
+        if (!roomy && (job.tenure.credit <= 0 || w != null && hopeless(job, w))) {
             refuse(job);
             return;
         }
@@ -243,8 +243,9 @@
     private boolean hopeless(Job job, Worker w) {
         double slots = Math.max(1, pools.get(w.kind + 1).slots);
         double wait = -spare(job, w) * pace[job.index].value / slots;
-        return now - w.answeredAt <= DELTA && wait > WAIT_PART * job.kind.aim()
-                + Math.max(0, job.kind.stretch() - SLOW) * job.arrival.hint();
+        // Danger: worthy jobs that would be late too pile up at a slowed worker and make each other late.
+        return now - w.answeredAt <= DELTA && wait > (worthy(job) ? patience(job) - work(job)
+                : WAIT_PART * job.kind.aim() + Math.max(0, job.kind.stretch() - SLOW) * job.arrival.hint());
     }
 
     private long retryAfter(Job job) {
--- a/src/test/java/nettlewick/decision/LogicTest.java
+++ b/src/test/java/nettlewick/decision/LogicTest.java
@@ -101,6 +101,25 @@
         assertEquals(Set.of("w0", "w1"), used);
     }
 
+    /** Guards against worthy jobs that pile up at a slowed worker and make each other late. */
+    @ParameterizedTest
+    @ValueSource(ints = {0, 20})
+    void aWorthyJobWaitsOnlyWhileItCanBeInTime(int waiting) {
+        Settings s = Samples.settings(0, 1, true);
+        Logic one = new Logic(new Settings(0, 1, s.zone(), List.of(Samples.jobClass("read", Repeat.RETRYABLE, Scope.ALL, 2),
+                Samples.jobClass("dear", Repeat.FRAGILE, Scope.ALL, 20)), s.tenants(), s.kinds(), false, false,
+                s.reports(), 0, s.limits(), s.rules()), 1);
+        one.handle(1, List.of(Samples.workers(1), Samples.answer("w0", 2, 0), Samples.arrival("a", "read", "red"),
+                Samples.arrival("b", "dear", "red")));
+        long later = Samples.SECOND / 2;
+        one.handle(later, List.of(new Outcome("a", 0, "w0", Result.SERVED, later, true, null),
+                new Outcome("b", 0, "w0", Result.SERVED, later, true, null), Samples.answer("w0", 0, waiting),
+                Samples.answer("w0", 0, waiting)));
+        List<Action> actions = one.handle(later + 1, List.of(new Arrival("c", "dear", "red", 5 * Samples.SECOND, 1, 0,
+                300 * Samples.MS, null, false)));
+        assertEquals(waiting > 0, actions.stream().anyMatch(Refuse.class::isInstance), actions.toString());
+    }
+
     /** Guards against machines of other zones that nobody watches, and that idle while the watched ones jam. */
     @Test
     void aSmallZonesPoolIsFilledFromTheOthers() {
