Streams count in the figures too, and a drain needs a process that serves

Seen by reading: jobs of the event-stream front were missing from the figures, and a drain during the start was taken and then hidden by it. EdgeFrontTest and OperationsTest show both. Figures of the platform's front are as before.

--- a/src/main/java/nettlewick/admin/Operations.java
+++ b/src/main/java/nettlewick/admin/Operations.java
@@ -14,7 +14,7 @@
     /** Takes a sim runner out, or puts it back; false if none has this id. In force once it is told. */
     Future<Boolean> ban(String runner, boolean out);
 
-    /** Sends clients away; false if this process ends anyway. */
+    /** Sends clients away; false while this process starts or ends. */
     boolean drain();
 
     /** Takes clients again; false if this process ends. */
--- a/src/main/java/nettlewick/net/Node.java
+++ b/src/main/java/nettlewick/net/Node.java
@@ -230,7 +230,7 @@
             @Override
             public boolean drain() {
                 boolean drains = state.drain(clock.now());
-                LOG.info(drains ? "drained by hand" : "drain refused: this process ends");
+                LOG.info(drains ? "drained by hand" : "drain refused: this process starts or ends");
                 return drains;
             }
 
--- a/src/main/java/nettlewick/net/ServiceState.java
+++ b/src/main/java/nettlewick/net/ServiceState.java
@@ -23,9 +23,9 @@
         phase = phase == Phase.STARTING ? Phase.SERVING : phase;
     }
 
-    /** Sends clients away; again and again is the same as once. False if this process ends anyway. */
+    /** Sends clients away; again and again is the same as once. False while this process starts or ends. */
     synchronized boolean drain(double now) {
-        if (phase == Phase.STARTING || phase == Phase.SERVING) {
+        if (phase == Phase.SERVING) {
             phase = Phase.DRAINED;
             drainedAt = now;
         }
--- a/src/main/java/nettlewick/sse/EdgeFront.java
+++ b/src/main/java/nettlewick/sse/EdgeFront.java
@@ -6,6 +6,7 @@
 import java.net.URLDecoder;
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
+import nettlewick.core.Figures;
 import nettlewick.core.Request;
 import nettlewick.net.HttpFront;
 import nettlewick.net.RpcReader;
@@ -80,9 +81,14 @@
             }
             return;
         }
+        Figures.Ticket[] ticket = new Figures.Ticket[1];
         JobStream stream = new JobStream(draft.jobClass(), draft.tenant(),
-                task -> base.loop().runOnContext(v -> task.run()),
-                ended -> book.ended(draft.id(), ended, base.clock().now()));
+                task -> base.loop().runOnContext(v -> task.run()), ended -> {
+                    book.ended(draft.id(), ended, base.clock().now());
+                    if (ticket[0] != null) {
+                        ended.count(ticket[0]);
+                    }
+                });
         if (book.isPast(draft.id()) || lastSeen(http) > 0) {
             // Danger: the job ran under this id, here or in a life of this dispatcher that is over. Its end
             // is forgotten, and sending it again might do it twice.
@@ -98,6 +104,7 @@
             book.add(draft.id(), stream);
             Request request = draft.with(stream);
             stream.is(request);
+            ticket[0] = base.core().figures().taken(draft.jobClass());
             base.core().submit(request);
         }
     }
--- a/src/main/java/nettlewick/sse/JobStream.java
+++ b/src/main/java/nettlewick/sse/JobStream.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
+import nettlewick.core.Figures;
 import nettlewick.core.Request;
 
 /**
@@ -85,6 +86,21 @@
         lastId = id;
     }
 
+    /** Counts how it ended; one that nobody waited for any more counts nowhere. */
+    void count(Figures.Ticket ticket) {
+        switch (end.name()) {
+            case "result" -> ticket.answered(Figures.End.FULFILLED);
+            case "unavailable" -> ticket.answered(Figures.End.THROTTLED);
+            default -> {
+                if (watched()) {
+                    ticket.answered(Figures.End.FAULTED);
+                } else {
+                    ticket.left();
+                }
+            }
+        }
+    }
+
     /** Characters of its final event; 0 while there is none. */
     int size() {
         return end == null ? 0 : end.data().length();
--- a/src/test/java/nettlewick/net/OperationsTest.java
+++ b/src/test/java/nettlewick/net/OperationsTest.java
@@ -190,6 +190,7 @@
     @Test
     void onlyAnEndIsFinal() {
         ServiceState state = new ServiceState();
+        assertFalse(state.drain(0), "it takes nobody yet");
         state.serve();
         assertTrue(state.drain(0) && state.drain(500) && state.closing() && !state.takesClients());
         assertFalse(state.closesIdle(ServiceState.IDLE_STAYS - 1));
--- a/src/test/java/nettlewick/sse/EdgeFrontTest.java
+++ b/src/test/java/nettlewick/sse/EdgeFrontTest.java
@@ -15,6 +15,7 @@
 import java.util.List;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
+import nettlewick.core.Figures;
 import nettlewick.net.Fields;
 import nettlewick.net.StandIns;
 import org.junit.jupiter.api.AfterEach;
@@ -30,6 +31,7 @@
     private StandIns world;
     private HttpClient client;
     private int port;
+    private Figures figures;
 
     @BeforeEach
     void open() throws Exception {
@@ -42,7 +44,10 @@
             world.addRunner(runner);
         }
         EdgeConfig edge = EdgeConfig.of("{\"listen\":\"127.0.0.1:0\",\"heartbeat_ms\":20" + more + "}");
-        port = world.start(base -> new EdgeFront(base, edge)).ports().get(1);
+        port = world.start(base -> {
+            figures = base.core().figures();
+            return new EdgeFront(base, edge);
+        }).ports().get(1);
     }
 
     @AfterEach
@@ -67,6 +72,8 @@
         assertEquals(List.of(new Watcher.Got(1, "progress", "{\"share\":0.0}"),
                 new Watcher.Got(2, "progress", "{\"share\":0.5}"),
                 new Watcher.Got(3, "result", "{\"result\":\"r-j\"}")), w.events);
+        StandIns.until(() -> figures.snapshot().open() == 0);
+        assertEquals(List.of(1L, 0L, 0L), figures.snapshot().jobs().get("step-view"));
         assertTrue(w.raw.startsWith("retry: 1000\n\n"), w.raw);
         assertTrue(w.raw.contains("\n:\n\n"), "a heartbeat: " + w.raw);
     }
