--- a/src/main/java/nettlewick/core/Core.java
+++ b/src/main/java/nettlewick/core/Core.java
@@ -234,9 +234,11 @@
         for (int taken = 0; first != null; first = ++taken < BATCH ? inbox.poll() : null) {
             guarded(first);
         }
+        List<Due> due = new ArrayList<>();
         while (!timers.isEmpty() && timers.peek().at() <= now) {
-            guarded(timers.poll().task());
+            due.add(timers.poll());
         }
+        due.forEach(d -> guarded(d.task()));
         while (!batch.isEmpty()) {
             decide();
         }
@@ -301,14 +303,20 @@
         unanswered++;
         batch.add(new Arrival(r.id(), r.jobClass(), r.tenant(), nanos(r.deadline()) - nanos(now), r.slots(),
                 r.memory(), nanos(r.hint()), r.key(), r.repeat()));
-        after(r.deadline() + GUARD, () -> {
-            if (answer(o)) {
-                LOG.warning("request " + r.id() + " was left open until its deadline");
-                batch.add(new Abandoned(r.id()));
-                r.caller().failed("no answer in time");
-                forget(o);
-            }
-        });
+        after(r.deadline() + GUARD, () -> guard(o));
+    }
+
+    private void guard(Open o) {
+        if (!o.answered && !batch.isEmpty()) {
+            // Danger: after a pause of the thread, the deadline's own outcome is due in this turn too; the
+            // module has not seen it yet, and may still refuse what would be failed here.
+            after(now, () -> guard(o));
+        } else if (answer(o)) {
+            LOG.warning("request " + o.request.id() + " was left open until its deadline");
+            batch.add(new Abandoned(o.request.id()));
+            o.request.caller().failed("no answer in time");
+            forget(o);
+        }
     }
 
     private void take(Roster roster) {
--- a/src/test/java/nettlewick/core/CoreTest.java
+++ b/src/test/java/nettlewick/core/CoreTest.java
@@ -112,6 +112,17 @@
                 .map(e -> ((Dispatcher.Outcome) e).result()).toList();
     }
 
+    /** Guards against a job failed here, after a pause, in the turn in which the module would refuse it. */
+    @Test
+    void theModuleHearsOfADeadlineBeforeTheCoreActsOnIt() throws InterruptedException {
+        script = e -> e instanceof Arrival ? List.of(new Dispatch("a", "w", 0))
+                : e instanceof Dispatcher.Outcome ? List.of(new Refuse("a", 0)) : List.of();
+        request("a", 100);
+        at(1);
+        at(200);
+        assertTrue(out.contains("refused a 0.0") && !out.contains("failed a"), out.toString());
+    }
+
     @Test
     void timeIsTurnedIntoTheModulesNanosecondsHere() throws InterruptedException {
         request("a", 250.5);
