--- a/src/main/java/nettlewick/decision/Logic.java
+++ b/src/main/java/nettlewick/decision/Logic.java
@@ -138,7 +138,7 @@
             w.ready = entry.life() == Life.READY;
         }
         pools.forEach(this::fill);
-        loads.list(pools.get(0).ready);
+        loads.list(workers.values().stream().filter(w -> roll.tellsReady(w.id)).toList());
         watched = pools.stream().flatMap(pool -> pool.members.stream()).distinct().toList();
     }
 
--- a/src/main/java/nettlewick/decision/Roll.java
+++ b/src/main/java/nettlewick/decision/Roll.java
@@ -51,6 +51,15 @@
         return new WorkerList(false, entry == null ? List.of() : List.of(seen(entry)));
     }
 
+    /**
+     * Whether discovery lists this worker as ready, bans aside. Danger: peers name workers by their places
+     * among these. Bans are each dispatcher's own: the places would mean other workers at the other end.
+     */
+    boolean tellsReady(String worker) {
+        WorkerEntry entry = told.get(worker);
+        return entry != null && entry.life() == Life.READY;
+    }
+
     /** Whether operators have put this worker back and it has served nothing since. */
     boolean back(String worker) {
         return back.contains(worker);
--- a/src/test/java/nettlewick/decision/RollTest.java
+++ b/src/test/java/nettlewick/decision/RollTest.java
@@ -5,6 +5,8 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import nettlewick.decision.Dispatcher.*;
 import org.junit.jupiter.api.Test;
@@ -53,6 +55,22 @@
                 .map(d -> d.worker().equals("w1")).toList());
     }
 
+    /** Guards against loads of one worker taken for another's where dispatchers have different ones out. */
+    @Test
+    void peersAreToldOfTheSamePlacesWhoeverIsOut() {
+        List<String> notes = new ArrayList<>();
+        for (int out = 0; out < 2; out++) {
+            Dispatcher module = Dispatcher.create(Samples.settings(0, 2, true), 1);
+            module.handle(1, List.of(Samples.workers(4), new Ban("w" + out, true, 1), Samples.answer("w2", 9, 0),
+                    Samples.answer("w" + (1 - out), 0, 9), Samples.answer("w3", 0, 9),
+                    Samples.arrival("a", "read", "red")));
+            notes.add(Samples.only(TellPeer.class, module.handle(SECOND / 10, List.of(new Timer("beat")))).stream()
+                    .map(TellPeer::data).filter(LoadNote::is).map(Arrays::toString).toList().toString());
+        }
+        assertEquals(notes.get(0), notes.get(1));
+        assertTrue(notes.get(0).contains(" 4, 2, 1]"), notes.toString());
+    }
+
     @Test
     void theModuleSendsAndProbesNothingThere() {
         Dispatcher module = Dispatcher.create(Samples.settings(0, 1, true), 1);
