Settings in one line-based file, checked by one table; logs on SLF4J and Logback

The ledger needs settings of its own and lines that a machine can read. One file with blocks, includes and units takes the place of deploy/edge.json; one table checks it and makes docs/settings.md, and a test compares the two. Log lines carry part, event and fields, as text or JSON, and repeats are counted.

--- a/src/main/java/nettlewick/cli/Main.java
+++ b/src/main/java/nettlewick/cli/Main.java
@@ -16,7 +16,6 @@
 
     public static void main(String[] args) {
         Hangup.install();
-        Log.choose();
         int code = run(args);
         if (code != 0) {
             System.exit(code);
@@ -26,7 +25,7 @@
     /** Runs one command; the exit code comes back. */
     static int run(String... args) {
         JCommander.Builder builder = JCommander.newBuilder().programName("nettlewick");
-        List.of(new Serve(), new Drill(), new Replay(), new Version(), new Warm())
+        List.of(new Serve(), new Drill(), new Replay(), new SettingsCommand(), new Version(), new Warm())
                 .forEach(builder::addCommand);
         JCommander line = builder.build();
         try {
--- a/src/main/java/nettlewick/cli/Replay.java
+++ b/src/main/java/nettlewick/cli/Replay.java
@@ -22,7 +22,6 @@
 
     @Override
     public int run() {
-        Log.install();
         Capture capture;
         try {
             capture = Capture.read(Path.of(file));
--- a/src/main/java/nettlewick/cli/Serve.java
+++ b/src/main/java/nettlewick/cli/Serve.java
@@ -11,8 +11,9 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
-import java.util.logging.Logger;
 import nettlewick.core.Clock;
+import nettlewick.log.LogSetup;
+import nettlewick.log.Part;
 import nettlewick.net.Config;
 import nettlewick.net.Fields;
 import nettlewick.net.Front;
@@ -21,13 +22,15 @@
 import nettlewick.net.Succession;
 import nettlewick.net.Tap;
 import nettlewick.pcap.CaptureWriter;
+import nettlewick.settings.Settings;
 import nettlewick.sse.EdgeConfig;
 import nettlewick.sse.EdgeFront;
 
 @Parameters(commandNames = "serve", commandDescription = "Run one real dispatcher, as $ROUTER_CONFIG tells")
 final class Serve implements Command {
-    @Parameter(names = "--edge", description = "File that says where the server-sent events front listens")
-    private String edge;
+    @Parameter(names = "--settings", description =
+            "File with settings of our own: further fronts, logs, ledger")
+    private String settingsFile;
 
     @Parameter(names = "--capture", description = "File that the traffic served is written to, as pcap")
     private String capture;
@@ -35,13 +38,16 @@
     @Parameter(names = "--capture-mb", description = "Most megabytes of that file")
     private int captureMost = 16;
 
-    private static final Logger LOG = Logger.getLogger("node");
+    private static final Part LOG = Part.of("node");
     private static final long MEGABYTE = 1 << 20;
     private static final int START_SECONDS = 20;
 
     @Override
     public int run() {
-        Log.install();
+        Settings settings = settingsFile == null ? null : SettingsCommand.read(settingsFile);
+        if (settings != null) {
+            LogSetup.apply(settings.block("log"));
+        }
         Config config;
         List<Front.Maker> fronts = new ArrayList<>();
         Clock clock = Clock.system();
@@ -49,9 +55,9 @@
             config = Config.load(System.getenv());
             Tap tap = capture == null ? Tap.NONE : writer(clock);
             fronts.add(base -> new PlatformFront(base, tap));
-            if (edge != null) {
-                EdgeConfig streams = EdgeConfig.load(edge);
-                fronts.add(base -> new EdgeFront(base, streams));
+            if (settings != null) {
+                settings.block("edge").map(EdgeConfig::of)
+                        .ifPresent(streams -> fronts.add(base -> new EdgeFront(base, streams)));
             }
         } catch (Fields.Bad e) {
             throw new Misuse(Main.MISUSED, e.getMessage());
@@ -62,7 +68,7 @@
             node.shutDown();
             Runtime.getRuntime().halt(0);
         }, "shutdown"));
-        Hangup.serve(() -> reread(node));
+        Hangup.serve(() -> reread(node, settings));
         try {
             node.start().toCompletionStage().toCompletableFuture().get(START_SECONDS, TimeUnit.SECONDS);
         } catch (ExecutionException | TimeoutException e) {
@@ -81,17 +87,25 @@
                     Path.of(System.getProperty("java.io.tmpdir")),
                     config.name() + "-" + config.listen().port(), (long) clock.now());
         } catch (UncheckedIOException e) {
-            LOG.warning("no upgrade beside a living process: " + e.getMessage());
+            LOG.warning("no-upgrade", "no upgrade beside a living process: " + e.getMessage());
             return null;
         }
     }
 
-    /** Danger: a bad file must not cost what is in force. */
-    private static void reread(Node node) {
+    /** Danger: a bad file must not cost what is in force. Both are read before either counts. */
+    private void reread(Node node, Settings first) {
         try {
-            node.reload(Config.reload(System.getenv()));
+            Config config = Config.reload(System.getenv());
+            Settings next = settingsFile == null ? null : Settings.read(Path.of(settingsFile));
+            if (next != null) {
+                LogSetup.apply(next.block("log"));
+                List<String> stay = first.needRestart(next);
+                LOG.info("settings-reread", "settings reread"
+                        + (stay.isEmpty() ? "" : "; only a restart changes " + stay));
+            }
+            node.reload(config);
         } catch (RuntimeException e) {
-            LOG.warning("the old configuration stays: " + e.getMessage());
+            LOG.warning("old-configuration-stays", "the old configuration stays: " + e.getMessage());
         }
     }
 
--- a/src/main/java/nettlewick/cli/Warm.java
+++ b/src/main/java/nettlewick/cli/Warm.java
@@ -24,7 +24,6 @@
 
     @Override
     public int run() {
-        Log.install();
         try {
             Node node = new Node(Config.of(CONFIG, Map.of()), Clock.system(), PlatformFront::new);
             node.start().toCompletionStage().toCompletableFuture().get(SECONDS, TimeUnit.SECONDS);
--- a/src/main/java/nettlewick/core/Core.java
+++ b/src/main/java/nettlewick/core/Core.java
@@ -11,10 +11,9 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
-import java.util.logging.Level;
-import java.util.logging.Logger;
 import nettlewick.decision.Dispatcher;
 import nettlewick.decision.Dispatcher.*;
+import nettlewick.log.Part;
 
 /**
  * Joins requests, attempts and outcomes to the decision module, and keeps the books that the rules ask for:
@@ -25,7 +24,7 @@
  * Time is in milliseconds; only here is it turned into the module's nanoseconds.
  */
 public final class Core implements Runnable {
-    private static final Logger LOG = Logger.getLogger("core");
+    private static final Part LOG = Part.of("core");
     /** How long a probe is waited for: an answer older than this is worth nothing to the module. */
     private static final double PROBE_PATIENCE = 1000;
     /** Past the deadline by this much, a request that the module left open is failed here. */
@@ -254,7 +253,7 @@
         try {
             task.run();
         } catch (RuntimeException e) {
-            LOG.log(Level.SEVERE, "core task failed", e);
+            LOG.fault("task-failed", "core task failed", e);
         }
     }
 
@@ -265,7 +264,7 @@
         try {
             actions = module.handle(nanos(now), events);
         } catch (RuntimeException e) {
-            LOG.log(Level.SEVERE, "decision module failed on " + events.size() + " events", e);
+            LOG.fault("module-failed", "decision module failed on " + events.size() + " events", e);
             return;
         }
         for (Action action : actions) {
@@ -312,7 +311,8 @@
             // module has not seen it yet, and may still refuse what would be failed here.
             after(now, () -> guard(o));
         } else if (answer(o)) {
-            LOG.warning("request " + o.request.id() + " was left open until its deadline");
+            LOG.warning("left-open", "request " + o.request.id() + " was left open until its deadline",
+                    "request", o.request.id(), "member", o.request.tenant());
             batch.add(new Abandoned(o.request.id()));
             o.request.caller().failed("no answer in time");
             forget(o);
--- /dev/null
+++ b/src/main/java/nettlewick/log/LineForm.java
@@ -0,0 +1,102 @@
+package nettlewick.log;
+
+import ch.qos.logback.classic.Level;
+import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.classic.spi.IThrowableProxy;
+import ch.qos.logback.classic.spi.StackTraceElementProxy;
+import com.google.gson.stream.JsonWriter;
+import java.io.IOException;
+import java.io.StringWriter;
+import java.io.UncheckedIOException;
+import java.time.Instant;
+import java.util.List;
+import org.slf4j.event.KeyValuePair;
+
+/**
+ * How one line looks, as text or as a JSON object. A fault's cause and first places stand on the same line.
+ */
+enum LineForm {
+    /** Time, level, part and message, as they always were. */
+    TEXT {
+        @Override
+        String of(ILoggingEvent event, int heldBack) {
+            StringBuilder line = new StringBuilder().append(Instant.ofEpochMilli(event.getTimeStamp()))
+                    .append(' ').append(level(event)).append(' ').append(event.getLoggerName()).append(": ")
+                    .append(event.getFormattedMessage());
+            String cause = cause(event.getThrowableProxy());
+            if (cause != null) {
+                line.append(": ").append(cause);
+            }
+            if (heldBack > 0) {
+                line.append(" (").append(heldBack).append(" more like this were held back)");
+            }
+            return flat(line);
+        }
+    },
+    /** One object a line: time, level, part, event, message, then the fields. */
+    JSON {
+        @Override
+        String of(ILoggingEvent event, int heldBack) {
+            StringWriter text = new StringWriter();
+            try (JsonWriter out = new JsonWriter(text)) {
+                out.beginObject().name("time").value(Instant.ofEpochMilli(event.getTimeStamp()).toString())
+                        .name("level").value(level(event)).name("part").value(event.getLoggerName());
+                List<KeyValuePair> fields = event.getKeyValuePairs();
+                for (KeyValuePair field : fields == null ? List.<KeyValuePair>of() : fields) {
+                    out.name(field.key);
+                    if (field.value instanceof Number n && Double.isFinite(n.doubleValue())) {
+                        out.value(n);
+                    } else {
+                        out.value(String.valueOf(field.value));
+                    }
+                }
+                out.name("message").value(event.getFormattedMessage());
+                String cause = cause(event.getThrowableProxy());
+                if (cause != null) {
+                    out.name("cause").value(cause);
+                }
+                if (heldBack > 0) {
+                    out.name("held_back").value(heldBack);
+                }
+                out.endObject();
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+            return text + "\n";
+        }
+    };
+
+    private static final int PLACES = 6;
+
+    /** The line, with how many like it were held back before. */
+    abstract String of(ILoggingEvent event, int heldBack);
+
+    private static String level(ILoggingEvent event) {
+        return event.getLevel().equals(Level.ERROR) ? "SEVERE"
+                : event.getLevel().equals(Level.WARN) ? "WARNING" : event.getLevel().toString();
+    }
+
+    private static String cause(IThrowableProxy thrown) {
+        if (thrown == null) {
+            return null;
+        }
+        StringBuilder text = new StringBuilder(thrown.getClassName());
+        if (thrown.getMessage() != null) {
+            text.append(": ").append(thrown.getMessage());
+        }
+        StackTraceElementProxy[] places = thrown.getStackTraceElementProxyArray();
+        for (int i = 0; i < Math.min(PLACES, places.length); i++) {
+            text.append(i == 0 ? " at " : " < ").append(places[i].getStackTraceElement());
+        }
+        return text.toString();
+    }
+
+    private static String flat(CharSequence line) {
+        StringBuilder text = new StringBuilder(line.length() + 1);
+        for (int i = 0; i < line.length(); i++) {
+            char c = line.charAt(i);
+            text.append(c == '\n' || c == '\r' ? ' ' : c);
+        }
+        return text.append('\n').toString();
+    }
+}
--- /dev/null
+++ b/src/main/java/nettlewick/log/Part.java
@@ -0,0 +1,54 @@
+package nettlewick.log;
+
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.slf4j.event.Level;
+import org.slf4j.spi.LoggingEventBuilder;
+
+/**
+ * The log of one part of the program. A line has an event's name, a sentence for people, and fields as pairs
+ * of
+ * a name and a value ({@code "request", id, "runner", host}).
+ */
+public final class Part {
+    /** The field that holds the event's name. */
+    static final String EVENT = "event";
+
+    private final Logger logger;
+
+    private Part(String name) {
+        logger = LoggerFactory.getLogger(name);
+    }
+
+    public static Part of(String name) {
+        return new Part(name);
+    }
+
+    public void debug(String event, String message, Object... fields) {
+        write(Level.DEBUG, event, message, null, fields);
+    }
+
+    public void info(String event, String message, Object... fields) {
+        write(Level.INFO, event, message, null, fields);
+    }
+
+    public void warning(String event, String message, Object... fields) {
+        write(Level.WARN, event, message, null, fields);
+    }
+
+    /** A fault in the program, with what was thrown. */
+    public void fault(String event, String message, Throwable cause, Object... fields) {
+        write(Level.ERROR, event, message, cause, fields);
+    }
+
+    private void write(Level level, String event, String message, Throwable cause, Object[] fields) {
+        if (!logger.isEnabledForLevel(level)) {
+            return;
+        }
+        LoggingEventBuilder line = logger.atLevel(level).addKeyValue(EVENT, event);
+        for (int i = 0; i + 1 < fields.length; i += 2) {
+            line = line.addKeyValue(String.valueOf(fields[i]), fields[i + 1]);
+        }
+        (cause == null ? line : line.setCause(cause)).log(message);
+    }
+}
--- a/src/main/java/nettlewick/net/BanStore.java
+++ b/src/main/java/nettlewick/net/BanStore.java
@@ -15,14 +15,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
-import java.util.logging.Logger;
+import nettlewick.log.Part;
 
 /**
  * Which sim runners are out by hand, kept in a file that the processes of an upgrade share. Lives on one
  * thread of each process.
  */
 final class BanStore {
-    private static final Logger LOG = Logger.getLogger("bans");
+    private static final Part LOG = Part.of("bans");
     /** How long a return is remembered: a process that starts meanwhile has to know of a cold runner. */
     private static final double RETURN_KEPT = 60_000;
     private static final double LATEST = 1e15;
@@ -118,7 +118,7 @@
         } catch (NoSuchFileException e) {
             // nothing was ever out
         } catch (IOException | Fields.Bad e) {
-            LOG.warning("the bans held stay: " + e.getMessage());
+            LOG.warning("bans-unreadable", "the bans held stay: " + e.getMessage());
         }
     }
 
--- a/src/main/java/nettlewick/net/Node.java
+++ b/src/main/java/nettlewick/net/Node.java
@@ -13,18 +13,17 @@
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import java.util.logging.Level;
-import java.util.logging.Logger;
 import nettlewick.admin.AdminFront;
 import nettlewick.admin.Operations;
 import nettlewick.core.Clock;
 import nettlewick.core.Core;
 import nettlewick.core.Figures;
 import nettlewick.decision.Dispatcher.JobClass;
+import nettlewick.log.Part;
 
 /** One real dispatcher: puts core, subchannels, resolver watch, peers and the platform's front together. */
 public final class Node {
-    private static final Logger LOG = Logger.getLogger("node");
+    private static final Part LOG = Part.of("node");
     /** New connections keep coming for this long after SIGTERM. */
     private static final long ACCEPT_ON = 700;
     private static final long SHUT_SPARE = 500;
@@ -131,7 +130,8 @@
             listenAdmin().compose(v2 -> heir ? succeed(told.future(), base) : begin())
                     .onSuccess(v2 -> serve()).onComplete(started);
         });
-        return started.future().onSuccess(v -> LOG.info("dispatcher " + config.name() + " listens on "
+        return started.future().onSuccess(v -> LOG.info("listens", "dispatcher " + config.name()
+                + " listens on "
                 + config.listen().hostAddress() + ":" + ports.get(0)));
     }
 
@@ -143,10 +143,13 @@
         }
         try {
             bans.set(runner, out, clock.now()).forEach(this::heed);
-            LOG.info("sim runner " + runner + (out ? " taken out by hand" : " put back by hand"));
+            LOG.info(out ? "taken-out" : "put-back",
+                    "sim runner " + runner + (out ? " taken out by hand" : " put back by hand"), "runner",
+                            runner);
             done.complete(true);
         } catch (IOException e) {
-            LOG.warning("cannot store that " + runner + (out ? " is out: " : " is back: ") + e);
+            LOG.warning("ban-not-stored",
+                    "cannot store that " + runner + (out ? " is out: " : " is back: ") + e, "runner", runner);
             done.fail(e);
         }
     }
@@ -165,7 +168,7 @@
      * is lost to the other, and a health that says no turns the front away from both. All else comes first.
      */
     private Future<Void> succeed(Future<Void> told, Front.Base base) {
-        LOG.info("another process serves here; this one is to succeed it");
+        LOG.info("succeeds", "another process serves here; this one is to succeed it");
         peers.await(core::heard);
         Front own = new PlatformFront(new Front.Base(vertx, loop, config.atFreePort(), clock, core,
                 () -> true, state, perFront));
@@ -230,14 +233,16 @@
             @Override
             public boolean drain() {
                 boolean drains = state.drain(clock.now());
-                LOG.info(drains ? "drained by hand" : "drain refused: this process starts or ends");
+                LOG.info(drains ? "drained" : "drain-refused", drains ? "drained by hand"
+                        : "drain refused: this process starts or ends");
                 return drains;
             }
 
             @Override
             public boolean resume() {
                 boolean resumes = state.resume();
-                LOG.info(resumes ? "resumed by hand" : "resume refused: this process ends");
+                LOG.info(resumes ? "resumed" : "resume-refused", resumes ? "resumed by hand"
+                        : "resume refused: this process ends");
                 return resumes;
             }
         };
@@ -285,7 +290,8 @@
     /** A planned end: goes on accepting for a while, then answers all that was taken. Blocks until then. */
     public void shutDown() {
         boolean successor = succession != null && succession.successor();
-        LOG.info(successor ? "handing over to the process that succeeds this one" : "shutting down");
+        LOG.info(successor ? "hands-over" : "shutting-down", successor
+                ? "handing over to the process that succeeds this one" : "shutting down");
         CountDownLatch done = new CountDownLatch(1);
         double began = clock.now();
         long longest = config.settings().classes().stream().mapToLong(JobClass::deadline).max().orElse(0)
@@ -307,7 +313,7 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
-        LOG.log(Level.INFO, "shut down");
+        LOG.info("shut-down", "shut down");
     }
 
     /** Ends the fronts at that time, or as soon as nobody is connected. */
@@ -328,7 +334,7 @@
             watch.move(config.discovery());
             subchannels.reload(config);
             core.reload(config.maxOpen());
-            LOG.info("configuration reread, discovery at " + config.discovery().hostAddress() + ":"
+            LOG.info("reread", "configuration reread, discovery at " + config.discovery().hostAddress() + ":"
                     + config.discovery().port() + (stay.isEmpty() ? "" : "; only a restart changes " + stay));
         });
     }
--- a/src/main/java/nettlewick/net/ResolverWatch.java
+++ b/src/main/java/nettlewick/net/ResolverWatch.java
@@ -14,12 +14,12 @@
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Consumer;
-import java.util.logging.Logger;
 import nettlewick.core.Clock;
+import nettlewick.log.Part;
 
 /** The standing watch on discovery: resumed where it broke, with growing pauses. Lives on the event loop. */
 final class ResolverWatch {
-    private static final Logger LOG = Logger.getLogger("resolver");
+    private static final Part LOG = Part.of("resolver");
     /** Discovery writes an empty line every 2 s; a watch silent for longer than two of them is broken. */
     private static final double SILENCE = 5000;
     /** The agent answers at once: a watch without a first line for so long is broken. */
@@ -125,7 +125,8 @@
             ResolverResult news = ResolverResult.of(Fields.parse("the list", text));
             pause = PAUSE_LEAST;
             if (!news.faults().isEmpty()) {
-                LOG.warning(news.faults().size() + " entries left out: " + news.faults().get(0).getMessage());
+                LOG.warning("entries-left-out", news.faults().size() + " entries left out: " + news.faults()
+                        .get(0).getMessage());
             }
             if (news.whole() || news.seq() > seq) {
                 seq = news.seq();
@@ -168,7 +169,8 @@
             return;
         }
         round++;
-        LOG.info("watch broken: " + why + "; again in " + pause + " ms");
+        LOG.info("watch-broken", "watch broken: " + why + "; again in " + pause + " ms", "why", why,
+                "pause_ms", pause);
         if (connection != null) {
             connection.close();
             connection = null;
--- a/src/main/java/nettlewick/net/Subchannels.java
+++ b/src/main/java/nettlewick/net/Subchannels.java
@@ -105,7 +105,8 @@
     boolean room() {
         int operators = config.adminAddr() == null ? 0 : Node.ADMIN;
         int mine = mostOpen(config.sockets()) - operators;
-        if (open < (shared ? mine / 2 : mine)) {
+        // Two processes have two sets of jars, listeners and selectors too.
+        if (open < (shared ? Math.max(mine / 4, (mine - RESERVE) / 2) : mine)) {
             return true;
         }
         for (Subchannel s : all.values()) {
--- a/src/main/java/nettlewick/pcap/CaptureWriter.java
+++ b/src/main/java/nettlewick/pcap/CaptureWriter.java
@@ -17,7 +17,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.IdentityHashMap;
 import java.util.Map;
-import java.util.logging.Logger;
+import nettlewick.log.Part;
 import nettlewick.core.Clock;
 import nettlewick.net.Tap;
 
@@ -27,7 +27,7 @@
  * order and closes, with right sums, so that any reader of captures can follow it.
  */
 public final class CaptureWriter implements Tap, Closeable {
-    private static final Logger LOG = Logger.getLogger("capture");
+    private static final Part LOG = Part.of("capture");
     private static final int LINK_RAW = 101;
     private static final int SNAP = 65_535;
     private static final int PIECE = 1400;
@@ -132,7 +132,7 @@
         left -= packet.length + 16;
         if (left < 0) {
             full = true;
-            LOG.warning("capture file is full; no more is written to it");
+            LOG.warning("capture-full", "capture file is full; no more is written to it");
             return;
         }
         double now = clock.now();
@@ -145,7 +145,7 @@
             out.flush();
         } catch (IOException e) {
             full = true;
-            LOG.warning("capture file cannot be written: " + e.getMessage());
+            LOG.warning("capture-failed", "capture file cannot be written: " + e.getMessage());
         }
     }
 
--- /dev/null
+++ b/src/main/java/nettlewick/settings/BadSettings.java
@@ -0,0 +1,23 @@
+package nettlewick.settings;
+
+/** Settings that are not in order, in one line that names file, line, keyword and value. */
+public final class BadSettings extends RuntimeException {
+    private static final long serialVersionUID = 1;
+    private static final int LONGEST = 400;
+
+    public BadSettings(Place place, String message) {
+        super(line(place + ": " + message));
+    }
+
+    /** A keyword whose value is not what it has to be. */
+    public static BadSettings value(Place place, String keyword, String value, String wanted) {
+        return new BadSettings(place, keyword + " is " + (value.isEmpty() ? "empty" : value)
+                + ", but has to be "
+                + wanted);
+    }
+
+    private static String line(String text) {
+        String flat = text.replaceAll("[\\r\\n]+", " ");
+        return flat.length() > LONGEST ? flat.substring(0, LONGEST) + "..." : flat;
+    }
+}
--- /dev/null
+++ b/src/main/java/nettlewick/settings/Block.java
@@ -0,0 +1,137 @@
+package nettlewick.settings;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/** A block of settings that were checked: its values have the types that its section gives them. */
+public final class Block {
+    /** One line: its words as they stand, and the values they stand for. */
+    public record Value(Place place, List<String> words, List<Object> parts) {
+        @SuppressWarnings("unchecked")
+        public <T> T part(int number) {
+            return (T) parts.get(number);
+        }
+    }
+
+    private final Section section;
+    private final String label;
+    private final Place place;
+    private final Map<String, List<Value>> values = new LinkedHashMap<>();
+    private final List<Block> inner = new ArrayList<>();
+
+    Block(Section section, String label, Place place) {
+        this.section = section;
+        this.label = label;
+        this.place = place;
+    }
+
+    Section section() {
+        return section;
+    }
+
+    public String label() {
+        return label;
+    }
+
+    public Place place() {
+        return place;
+    }
+
+    void set(Keyword keyword, Value value) {
+        List<Value> before = values.computeIfAbsent(keyword.name(), k -> new ArrayList<>());
+        if (!before.isEmpty() && !keyword.many()) {
+            throw BadSettings.value(value.place(), keyword.name(), String.join(" ", value.words()),
+                    "set once only; it is set at " + before.get(0).place());
+        }
+        before.add(value);
+    }
+
+    void add(Block block) {
+        for (Block other : inner) {
+            if (other.section == block.section
+                    && (!block.section.many() || java.util.Objects.equals(other.label, block.label))) {
+                throw BadSettings.value(block.place, block.section.name(),
+                        block.label == null ? "a second block" : block.label,
+                        "there once only; it is there at " + other.place);
+            }
+        }
+        inner.add(block);
+    }
+
+    /** What was set under a keyword, or its fallback; empty where there is neither. */
+    public List<Value> all(String name) {
+        Keyword keyword = section.keyword(name);
+        if (keyword == null) {
+            throw new IllegalStateException("no keyword " + name + " in " + section.name());
+        }
+        List<Value> set = values.get(name);
+        if (set != null) {
+            return List.copyOf(set);
+        }
+        if (keyword.fallback() == null) {
+            return List.of();
+        }
+        List<String> words = List.of(keyword.fallback().split(" "));
+        return List.of(new Value(Place.DEFAULT, words, keyword.read(Place.DEFAULT, words)));
+    }
+
+    public Optional<Value> one(String name) {
+        return all(name).stream().findFirst();
+    }
+
+    private <T> T value(String name) {
+        return one(name).orElseThrow(() -> new IllegalStateException(name + " is not set")).part(0);
+    }
+
+    public boolean has(String name) {
+        return !all(name).isEmpty();
+    }
+
+    public String text(String name) {
+        return value(name);
+    }
+
+    public boolean flag(String name) {
+        return this.<Boolean>value(name);
+    }
+
+    public long whole(String name) {
+        return this.<Long>value(name);
+    }
+
+    /** Milliseconds. */
+    public double span(String name) {
+        return this.<Double>value(name);
+    }
+
+    public InetSocketAddress address(String name) {
+        return value(name);
+    }
+
+    public <T> T get(String name) {
+        return value(name);
+    }
+
+    public Optional<Block> block(String name) {
+        return inner.stream().filter(b -> b.section.name().equals(name)).findFirst();
+    }
+
+    public List<Block> blocks(String name) {
+        return inner.stream().filter(b -> b.section.name().equals(name)).toList();
+    }
+
+    List<Block> inner() {
+        return inner;
+    }
+
+    /** Where a keyword stands, for what only its user can check. */
+    public BadSettings bad(String name, String wanted) {
+        Value value = one(name).orElse(null);
+        return BadSettings.value(value == null ? place : value.place(), name,
+                value == null ? "not set" : String.join(" ", value.words()), wanted);
+    }
+}
--- /dev/null
+++ b/src/main/java/nettlewick/settings/Reference.java
@@ -0,0 +1,47 @@
+package nettlewick.settings;
+
+/** The reference page of the settings, made from the table that checks them. */
+public final class Reference {
+    private Reference() {
+    }
+
+    /** The page, in Markdown. */
+    public static String page() {
+        StringBuilder page = new StringBuilder("""
+                # Settings
+
+                Made by `nettlewick settings reference` from the table that checks them; a test compares the
+                two.
+
+                `serve --settings FILE` reads one file: a keyword and its values a line, `#` for comments,
+                values with spaces in double quotes (`\\"`, `\\\\`, `\\n` and `\\t` inside), `include FILE`
+                (beside the file that says so), blocks from `NAME {` to a `}` alone. Spans carry a unit
+                (`250ms`, `15s`, `10m`, `24h`, `7d`), sizes may (`64k`, `16m`, `2g`). A block that is not
+                there leaves its subsystem off. `nettlewick settings check FILE` says whether a file is in
+                order, `nettlewick settings show FILE` prints what is in force and where each value comes
+                from. SIGHUP reads the file again and takes all of it or nothing; what only a restart
+                changes is named in the log.
+                """);
+        section(Table.ROOT, "", page);
+        return page.toString();
+    }
+
+    private static void section(Section section, String path, StringBuilder page) {
+        if (!section.keywords().isEmpty()) {
+            page.append("\n| keyword | unless set | SIGHUP | meaning |\n| --- | --- | --- | --- |\n");
+        }
+        for (Keyword k : section.keywords()) {
+            page.append("| `").append(k.usage().replace("|", "\\|")).append("` | ")
+                    .append(k.required() ? "has to be set" : k.fallback() == null ? "nothing"
+                            : "`" + k.fallback() + "`")
+                    .append(" | ").append(k.live() ? "yes" : "restart").append(" | ").append(k.about())
+                    .append(k.many() ? " May stand more than once." : "").append(" |\n");
+        }
+        for (Section inner : section.inner()) {
+            String name = path + inner.name();
+            page.append("\n## `").append(name).append(inner.label() == null ? "" : " " + inner.label().name())
+                    .append("`\n\n").append(inner.about()).append('\n');
+            section(inner, name + " ", page);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/nettlewick/settings/Settings.java
@@ -0,0 +1,169 @@
+package nettlewick.settings;
+
+import java.nio.file.Path;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import org.apache.commons.text.similarity.LevenshteinDistance;
+
+/** What our own file sets, checked against {@link Table}. */
+public final class Settings {
+    private final Block root;
+
+    private Settings(Block root) {
+        this.root = root;
+    }
+
+    /** Reads and checks a file; throws {@link BadSettings} with one line for the first fault. */
+    public static Settings read(Path file) {
+        return read(Lines.of(file), Table.ROOT);
+    }
+
+    /** Checks a text as if it stood in a file of that name. */
+    public static Settings parse(String name, String text) {
+        return read(Lines.ofText(name, text), Table.ROOT);
+    }
+
+    /** What is in force where there is no file. */
+    public static Settings none() {
+        return read(List.of(), Table.ROOT);
+    }
+
+    static Settings read(List<Lines.Line> lines, Section table) {
+        Deque<Block> open = new ArrayDeque<>();
+        open.push(new Block(table, null, Place.DEFAULT));
+        for (Lines.Line line : lines) {
+            if (line.closes()) {
+                complete(open.pop());
+            } else if (line.opens()) {
+                open.push(open(open.peek(), line));
+            } else {
+                set(open.peek(), line);
+            }
+        }
+        complete(open.peek());
+        return new Settings(open.peek());
+    }
+
+    private static Block open(Block in, Lines.Line line) {
+        String name = line.words().get(0);
+        Section section = in.section().section(name);
+        if (section == null) {
+            throw unknown(in.section(), line);
+        }
+        List<String> rest = line.words().subList(1, line.words().size());
+        String label = null;
+        if (section.label() == null ? !rest.isEmpty() : rest.size() != 1
+                || (label = section.label().read(rest.get(0))) == null) {
+            throw BadSettings.value(line.place(), name, String.join(" ", rest), section.label() == null
+                    ? "followed by { alone" : section.label().wanted());
+        }
+        Block block = new Block(section, label, line.place());
+        in.add(block);
+        return block;
+    }
+
+    private static void set(Block in, Lines.Line line) {
+        String name = line.words().get(0);
+        Keyword keyword = in.section().keyword(name);
+        if (keyword == null) {
+            throw unknown(in.section(), line);
+        }
+        List<String> words = line.words().subList(1, line.words().size());
+        in.set(keyword, new Block.Value(line.place(), words, keyword.read(line.place(), words)));
+    }
+
+    private static void complete(Block block) {
+        for (Keyword keyword : block.section().keywords()) {
+            if (keyword.required() && !block.has(keyword.name())) {
+                throw new BadSettings(block.place(), block.section().name() + " lacks " + keyword.usage());
+            }
+        }
+    }
+
+    private static BadSettings unknown(Section in, Lines.Line line) {
+        String word = line.words().get(0);
+        String value = String.join(" ", line.words().subList(1, line.words().size()));
+        boolean other = line.opens() ? in.keyword(word) != null : in.section(word) != null;
+        if (other) {
+            return BadSettings.value(line.place(), word, value + (line.opens() ? " {" : ""),
+                    line.opens() ? "on a line without {" : "a block, which opens with {");
+        }
+        String nearest = Stream.concat(in.keywords().stream().map(Keyword::name),
+                in.inner().stream().map(Section::name)).min(java.util.Comparator.comparingInt(
+                        known -> LevenshteinDistance.getDefaultInstance().apply(word, known))).orElse("none");
+        return new BadSettings(line.place(), word + (value.isEmpty() ? "" : " (" + value + ")")
+                + " is no keyword of " + in.name() + "; the nearest is " + nearest);
+    }
+
+    public Optional<Block> block(String name) {
+        return root.block(name);
+    }
+
+    /** The keywords, with their blocks, that differ in that one and which only a restart changes. */
+    public List<String> needRestart(Settings next) {
+        List<String> names = new ArrayList<>();
+        differ("", root, next.root, names);
+        return names;
+    }
+
+    private static void differ(String path, Block mine, Block other, List<String> names) {
+        for (Keyword keyword : mine.section().keywords()) {
+            if (!keyword.live() && !words(mine, keyword).equals(words(other, keyword))) {
+                names.add(path + keyword.name());
+            }
+        }
+        for (Section section : mine.section().inner()) {
+            List<Block> before = mine.blocks(section.name());
+            List<Block> after = other.blocks(section.name());
+            if (!before.stream().map(Block::label).toList().equals(after.stream().map(Block::label)
+                    .toList())) {
+                names.add(path + section.name());
+                continue;
+            }
+            for (int i = 0; i < before.size(); i++) {
+                differ(path + section.name() + ".", before.get(i), after.get(i), names);
+            }
+        }
+    }
+
+    private static List<List<String>> words(Block block, Keyword keyword) {
+        return block.all(keyword.name()).stream().map(Block.Value::words).toList();
+    }
+
+    /** All that is in force, in the form of the file, each line with where it came from. */
+    public String show() {
+        StringBuilder text = new StringBuilder();
+        show(root, "", text);
+        return text.toString();
+    }
+
+    private static void show(Block block, String indent, StringBuilder text) {
+        for (Keyword keyword : block.section().keywords()) {
+            List<Block.Value> values = block.all(keyword.name());
+            if (values.isEmpty()) {
+                text.append(indent).append("# ").append(keyword.name()).append(" is not set\n");
+            }
+            for (Block.Value value : values) {
+                text.append(String.format("%-50s # %s%n", indent + keyword.name() + " " + value.words()
+                        .stream()
+                        .map(Type::quote).collect(Collectors.joining(" ")), value.place()));
+            }
+        }
+        for (Section section : block.section().inner()) {
+            if (block.blocks(section.name()).isEmpty()) {
+                text.append(indent).append("# no block ").append(section.name()).append(": off\n");
+            }
+        }
+        for (Block inner : block.inner()) {
+            text.append(String.format("%-50s # %s%n", indent + inner.section().name()
+                    + (inner.label() == null ? "" : " " + Type.quote(inner.label())) + " {", inner.place()));
+            show(inner, indent + "    ", text);
+            text.append(indent).append("}\n");
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/nettlewick/settings/Type.java
@@ -0,0 +1,161 @@
+package nettlewick.settings;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+import java.nio.file.Path;
+import java.time.LocalDate;
+import java.time.ZoneId;
+import java.util.List;
+import java.util.Locale;
+import java.util.function.Function;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * What one word of a setting may be.
+ *
+ * @param name   as the reference names it
+ * @param wanted ends the sentence "... has to be"
+ * @param reader makes the value of a word; throws what it likes on others
+ */
+public record Type<T>(String name, String wanted, Function<String, T> reader) {
+    private static final Pattern UNIT = Pattern.compile("(\\d{1,12}(?:\\.\\d{1,9})?)([a-z]*)");
+
+    /** The value of a word, or null where it is none. */
+    T read(String word) {
+        try {
+            return reader.apply(word);
+        } catch (RuntimeException e) {
+            return null;
+        }
+    }
+
+    /** Any text that is not empty. */
+    public static Type<String> text(String name) {
+        return new Type<>(name, "a text", word -> word.isEmpty() ? null : word);
+    }
+
+    /** A name: letters, digits, dot, dash and underscore. */
+    public static Type<String> word(String name) {
+        return new Type<>(name, "a name of letters, digits, '.', '-' and '_', 64 at most",
+                word -> word.matches("[A-Za-z0-9._-]{1,64}") ? word : null);
+    }
+
+    /** This word and no other. */
+    public static Type<String> literal(String only) {
+        return new Type<>(only, only, word -> word.equals(only) ? word : null);
+    }
+
+    public static Type<String> choice(String... words) {
+        List<String> all = List.of(words);
+        return new Type<>(String.join("|", all), "one of " + String.join(", ", all),
+                word -> all.contains(word) ? word : null);
+    }
+
+    public static Type<Boolean> flag() {
+        return new Type<>("yes|no", "yes or no", word -> word.equals("yes") ? Boolean.TRUE
+                : word.equals("no") ? Boolean.FALSE : null);
+    }
+
+    public static Type<Long> whole(long least, long most) {
+        return new Type<>("NUMBER", "a whole number from " + least + " to " + most, word -> {
+            long value = Long.parseLong(word);
+            return value >= least && value <= most ? value : null;
+        });
+    }
+
+    /** A time span, as milliseconds: 250ms, 15s, 10m, 24h, 7d. */
+    public static Type<Double> span(double least, double most) {
+        return new Type<>("SPAN", "a time with its unit (ms, s, m, h, d) from " + spanText(least) + " to "
+                + spanText(most), word -> {
+            Matcher m = UNIT.matcher(word);
+            double unit = !m.matches() ? 0 : switch (m.group(2)) {
+                case "ms" -> 1;
+                case "s" -> 1e3;
+                case "m" -> 6e4;
+                case "h" -> 3.6e6;
+                case "d" -> 8.64e7;
+                default -> 0;
+            };
+            double value = unit == 0 ? -1 : Double.parseDouble(m.group(1)) * unit;
+            return value >= least && value <= most ? value : null;
+        });
+    }
+
+    static String spanText(double millis) {
+        return millis % 8.64e7 == 0 && millis > 0 ? (long) (millis / 8.64e7) + "d"
+                : millis % 3.6e6 == 0 && millis > 0 ? (long) (millis / 3.6e6) + "h"
+                : millis % 1000 == 0 ? (long) (millis / 1000) + "s" : (long) millis + "ms";
+    }
+
+    /** A number of bytes: 512, 64k, 16m, 2g (powers of 1,024). */
+    public static Type<Long> size(long least, long most) {
+        return new Type<>("SIZE", "a size in bytes, or with k, m or g, from " + least + " to " + most, word ->
+                {
+            Matcher m = UNIT.matcher(word);
+            int shift = !m.matches() || m.group(1).contains(".") ? -1 : switch (m.group(2)) {
+                case "" -> 0;
+                case "k" -> 10;
+                case "m" -> 20;
+                case "g" -> 30;
+                default -> -1;
+            };
+            long value = shift < 0 ? -1 : Math.multiplyExact(Long.parseLong(m.group(1)), 1L << shift);
+            return value >= least && value <= most ? value : null;
+        });
+    }
+
+    /** An IP address and a port; a name would ask DNS. */
+    public static Type<InetSocketAddress> address() {
+        return new Type<>("ADDRESS", "an IP address and a port", word -> {
+            int colon = word.lastIndexOf(':');
+            String host = word.substring(0, colon);
+            boolean six = host.startsWith("[") && host.endsWith("]") && host.contains(":");
+            if (!six && !host.matches("(\\d{1,3}\\.){3}\\d{1,3}")) {
+                return null;
+            }
+            try {
+                return new InetSocketAddress(InetAddress.getByName(host),
+                        Integer.parseInt(word.substring(colon + 1)));
+            } catch (UnknownHostException e) {
+                return null;
+            }
+        });
+    }
+
+    public static Type<Path> path() {
+        return new Type<>("FILE", "a path", word -> word.isEmpty() ? null : Path.of(word));
+    }
+
+    public static Type<LocalDate> date() {
+        return new Type<>("DATE", "a date such as 2026-09-01", LocalDate::parse);
+    }
+
+    public static Type<ZoneId> zone() {
+        return new Type<>("ZONE", "a time zone such as Indian/Mauritius or UTC", ZoneId::of);
+    }
+
+    /** An address that is called by plain HTTP. */
+    public static Type<java.net.URI> url() {
+        return new Type<>("URL", "a URL such as http://127.0.0.1:9000/batches", word -> {
+            java.net.URI uri = java.net.URI.create(word);
+            return "http".equals(uri.getScheme()) && uri.getHost() != null ? uri : null;
+        });
+    }
+
+    /** A level of log lines. */
+    public static Type<String> level() {
+        return choice("error", "warning", "info", "debug", "off");
+    }
+
+    static String quote(String word) {
+        return word.matches("[^\\s\"#{}\\\\]+") ? word : '"' + word.replace("\\", "\\\\").replace("\"",
+                "\\\"")
+                .replace("\n", "\\n").replace("\t", "\\t") + '"';
+    }
+
+    static String lower(String text) {
+        return text.toLowerCase(Locale.ROOT);
+    }
+}
--- /dev/null
+++ b/src/test/java/nettlewick/log/LogTest.java
@@ -0,0 +1,94 @@
+package nettlewick.log;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import nettlewick.settings.Settings;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** Log lines in both forms, levels by part, and repeats that are counted in place of written. */
+class LogTest {
+    private final PrintStream before = System.err;
+
+    private static void set(String text) {
+        LogSetup.apply(Settings.parse("f", "log {\n" + text + "\n}").block("log"));
+    }
+
+    private String said(Runnable lines) {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        System.setErr(new PrintStream(out));
+        try {
+            lines.run();
+        } finally {
+            System.setErr(before);
+        }
+        return out.toString(StandardCharsets.UTF_8);
+    }
+
+    @AfterEach
+    void restore() {
+        LogSetup.apply(Optional.empty());
+    }
+
+    @Test
+    void textIsOneLineAsItWas() {
+        LogSetup.apply(Optional.empty());
+        String line = said(() -> Part.of("p1").fault("odd", "it\nbroke",
+                new IllegalStateException("why\nnot")));
+        assertTrue(line.matches("\\S+Z SEVERE p1: it broke: java.lang.IllegalStateException: why not at .* "
+                + "< .*\n"),
+                line);
+    }
+
+    @Test
+    void jsonHoldsPartEventAndFields() {
+        set("form json");
+        String line = said(() -> Part.of("p2").warning("late", "a \"job\"", "request", "r\n1", "runner",
+                null, "n", 4));
+        JsonObject got = JsonParser.parseString(line).getAsJsonObject();
+        assertEquals("p2", got.get("part").getAsString());
+        assertEquals("late", got.get("event").getAsString());
+        assertEquals("r\n1", got.get("request").getAsString());
+        assertEquals(4, got.get("n").getAsInt());
+        assertEquals("WARNING", got.get("level").getAsString());
+        assertEquals(1, line.lines().count());
+    }
+
+    @Test
+    void levelsAreSetByPartAndTakenBack() {
+        set("level warning\npart p3 debug");
+        assertTrue(said(() -> Part.of("p3").debug("d", "seen")).contains("DEBUG p3: seen"));
+        assertEquals("", said(() -> Part.of("p4").info("i", "unseen")));
+        LogSetup.apply(Optional.empty());
+        assertEquals("", said(() -> Part.of("p3").debug("d", "unseen")));
+    }
+
+    @Test
+    void repeatsAreCountedAndToldWithTheNextLine() {
+        Repeats repeats = new Repeats(2, 100);
+        assertEquals(0, repeats.take("a", 0));
+        assertEquals(0, repeats.take("a", 10));
+        assertEquals(Repeats.HELD_BACK, repeats.take("a", 20));
+        assertEquals(0, repeats.take("b", 20));
+        assertEquals(Repeats.HELD_BACK, repeats.take("a", 99));
+        assertEquals(2, repeats.take("a", 100));
+        assertEquals(0, repeats.take("a", 101));
+        set("repeats 1\nwindow 1h");
+        String text = said(() -> {
+            for (int i = 0; i < 50; i++) {
+                Part.of("p5").info("again", "line " + i);
+                Part.of("p5").info("other", "x");
+            }
+        });
+        assertEquals(2, text.lines().count(), text);
+        assertFalse(text.contains("line 1"));
+    }
+}
