--- a/src/main/java/nettlewick/admin/AdminFront.java
+++ b/src/main/java/nettlewick/admin/AdminFront.java
@@ -106,7 +106,7 @@
                 case "/-/ready" -> yes(request, operations.ready(), 503, "takes no clients\n");
                 case "/-/drain" -> yes(request, operations.drain(), 409, "starts or ends\n");
                 case "/-/resume" -> yes(request, operations.resume(), 409, "ends\n");
-                default -> answer(request, OK, FiguresText.of(operations.figures()));
+                default -> answer(request, OK, FiguresText.of(operations.figures(), operations.more()));
             }
         }
     }
--- a/src/main/java/nettlewick/admin/FiguresText.java
+++ b/src/main/java/nettlewick/admin/FiguresText.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import nettlewick.core.Figures;
 import nettlewick.core.Figures.End;
 
@@ -12,13 +13,14 @@
     private FiguresText() {
     }
 
-    static String of(Figures.Snapshot figures) {
+    static String of(Figures.Snapshot figures, Map<String, Number> more) {
         StringBuilder text = new StringBuilder();
         figures.jobs().forEach((name, counts) -> ends(text, name, counts));
         line(text, "relayed", figures.relayed());
         line(text, "open_requests", figures.open());
         line(text, "registry_entries", figures.listed());
         line(text, "out_of_rotation", figures.avoided());
+        more.forEach((name, value) -> line(text, name, value.longValue()));
         return text.toString();
     }
 
--- a/src/main/java/nettlewick/admin/Operations.java
+++ b/src/main/java/nettlewick/admin/Operations.java
@@ -1,6 +1,7 @@
 package nettlewick.admin;
 
 import io.vertx.core.Future;
+import java.util.Map;
 import nettlewick.core.Figures;
 
 /** What operators can ask of a dispatcher. Called on the operators' event loop; nothing here blocks. */
@@ -11,6 +12,11 @@
     /** The figures now. */
     Figures.Snapshot figures();
 
+    /** Figures of parts that not every dispatcher has, by name. */
+    default Map<String, Number> more() {
+        return Map.of();
+    }
+
     /** Takes a sim runner out, or puts it back; false if none has this id. In force once it is told. */
     Future<Boolean> ban(String runner, boolean out);
 
--- a/src/main/java/nettlewick/cli/Main.java
+++ b/src/main/java/nettlewick/cli/Main.java
@@ -10,6 +10,8 @@
     static final int FAILED = 1;
     /** Exit code for a command line or a configuration that is not in order. */
     static final int MISUSED = 2;
+    private static final List<String> NAMES = List.of("serve", "drill", "replay", "demo", "ledger",
+            "settings", "version", "warm");
 
     private Main() {
     }
@@ -22,11 +24,28 @@
         }
     }
 
+    /** The command of that name alone: the classes of all others are left unloaded. All where none has it. */
+    private static List<Command> commands(String name) {
+        return NAMES.contains(name) ? List.of(command(name)) : NAMES.stream().map(Main::command).toList();
+    }
+
+    private static Command command(String name) {
+        return switch (name) {
+            case "serve" -> new Serve();
+            case "drill" -> new Drill();
+            case "replay" -> new Replay();
+            case "demo" -> new Demo();
+            case "ledger" -> new LedgerCommand();
+            case "settings" -> new SettingsCommand();
+            case "version" -> new Version();
+            default -> new Warm();
+        };
+    }
+
     /** Runs one command; the exit code comes back. */
     static int run(String... args) {
         JCommander.Builder builder = JCommander.newBuilder().programName("nettlewick");
-        List.of(new Serve(), new Drill(), new Replay(), new SettingsCommand(), new Version(), new Warm())
-                .forEach(builder::addCommand);
+        commands(args.length == 0 ? "" : args[0]).forEach(builder::addCommand);
         JCommander line = builder.build();
         try {
             line.parse(args);
--- a/src/main/java/nettlewick/cli/Serve.java
+++ b/src/main/java/nettlewick/cli/Serve.java
@@ -12,7 +12,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import nettlewick.core.Clock;
-import nettlewick.log.LogSetup;
 import nettlewick.log.Part;
 import nettlewick.net.Config;
 import nettlewick.net.Fields;
@@ -22,9 +21,6 @@
 import nettlewick.net.Succession;
 import nettlewick.net.Tap;
 import nettlewick.pcap.CaptureWriter;
-import nettlewick.settings.Settings;
-import nettlewick.sse.EdgeConfig;
-import nettlewick.sse.EdgeFront;
 
 @Parameters(commandNames = "serve", commandDescription = "Run one real dispatcher, as $ROUTER_CONFIG tells")
 final class Serve implements Command {
@@ -44,10 +40,7 @@
 
     @Override
     public int run() {
-        Settings settings = settingsFile == null ? null : SettingsCommand.read(settingsFile);
-        if (settings != null) {
-            LogSetup.apply(settings.block("log"));
-        }
+        Additions more = settingsFile == null ? Additions.NONE : new SettingsFile(settingsFile);
         Config config;
         List<Front.Maker> fronts = new ArrayList<>();
         Clock clock = Clock.system();
@@ -55,20 +48,22 @@
             config = Config.load(System.getenv());
             Tap tap = capture == null ? Tap.NONE : writer(clock);
             fronts.add(base -> new PlatformFront(base, tap));
-            if (settings != null) {
-                settings.block("edge").map(EdgeConfig::of)
-                        .ifPresent(streams -> fronts.add(base -> new EdgeFront(base, streams)));
-            }
+            more.fronts(fronts);
+            more.start(config, clock);
         } catch (Fields.Bad e) {
             throw new Misuse(Main.MISUSED, e.getMessage());
+        } catch (IOException e) {
+            throw new Misuse(Main.FAILED, "cannot start: " + e.getMessage());
         }
-        Node node = new Node(config, clock, succession(config, clock), fronts.toArray(Front.Maker[]::new));
+        Node node = new Node(config, clock, succession(config, clock), fronts.toArray(Front.Maker[]::new))
+                .keep(more.books());
         // Danger: by itself the JVM ends on SIGTERM with code 143; what was taken is answered first, then 0.
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             node.shutDown();
+            more.close();
             Runtime.getRuntime().halt(0);
         }, "shutdown"));
-        Hangup.serve(() -> reread(node, settings));
+        Hangup.serve(() -> reread(node, more));
         try {
             node.start().toCompletionStage().toCompletableFuture().get(START_SECONDS, TimeUnit.SECONDS);
         } catch (ExecutionException | TimeoutException e) {
@@ -93,16 +88,10 @@
     }
 
     /** Danger: a bad file must not cost what is in force. Both are read before either counts. */
-    private void reread(Node node, Settings first) {
+    private static void reread(Node node, Additions more) {
         try {
             Config config = Config.reload(System.getenv());
-            Settings next = settingsFile == null ? null : Settings.read(Path.of(settingsFile));
-            if (next != null) {
-                LogSetup.apply(next.block("log"));
-                List<String> stay = first.needRestart(next);
-                LOG.info("settings-reread", "settings reread"
-                        + (stay.isEmpty() ? "" : "; only a restart changes " + stay));
-            }
+            more.reread().run();
             node.reload(config);
         } catch (RuntimeException e) {
             LOG.warning("old-configuration-stays", "the old configuration stays: " + e.getMessage());
--- a/src/main/java/nettlewick/cli/SettingsCommand.java
+++ b/src/main/java/nettlewick/cli/SettingsCommand.java
@@ -6,6 +6,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import nettlewick.ledger.LedgerSettings;
 import nettlewick.settings.BadSettings;
 import nettlewick.settings.Reference;
 import nettlewick.settings.Settings;
@@ -32,10 +33,16 @@
         return 0;
     }
 
+    /** Checks what the words alone do not show; BadSettings where something is wrong. */
+    static Settings whole(Settings settings) {
+        settings.block("ledger").ifPresent(LedgerSettings::of);
+        return settings;
+    }
+
     /** Reads a file; what is wrong with it ends the command with one line. */
     static Settings read(String file) {
         try {
-            return Settings.read(Path.of(file));
+            return whole(Settings.read(Path.of(file)));
         } catch (BadSettings | InvalidPathException e) {
             throw new Misuse(Main.MISUSED, e.getMessage());
         }
--- /dev/null
+++ b/src/main/java/nettlewick/cli/SettingsFile.java
@@ -0,0 +1,72 @@
+package nettlewick.cli;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.List;
+import nettlewick.core.Books;
+import nettlewick.core.Clock;
+import nettlewick.ledger.LedgerService;
+import nettlewick.ledger.LedgerSettings;
+import nettlewick.log.LogSetup;
+import nettlewick.log.Part;
+import nettlewick.net.Config;
+import nettlewick.net.Front;
+import nettlewick.settings.Settings;
+import nettlewick.sse.EdgeConfig;
+import nettlewick.sse.EdgeFront;
+
+/** What the file of {@code serve --settings} adds. */
+final class SettingsFile implements Additions {
+    private static final Part LOG = Part.of("node");
+
+    private final String file;
+    private final Settings first;
+    private LedgerService ledger;
+
+    SettingsFile(String file) {
+        this.file = file;
+        first = SettingsCommand.read(file);
+        LogSetup.apply(first.block("log"));
+    }
+
+    @Override
+    public void start(Config config, Clock clock) throws IOException {
+        LedgerSettings settings = first.block("ledger").map(LedgerSettings::of).orElse(null);
+        if (settings != null) {
+            ledger = new LedgerService(config.name(), settings, clock, config.seed());
+            ledger.start();
+        }
+    }
+
+    @Override
+    public void fronts(List<Front.Maker> fronts) {
+        first.block("edge").map(EdgeConfig::of).ifPresent(edge -> fronts.add(base -> new EdgeFront(base,
+                edge)));
+    }
+
+    @Override
+    public Books books() {
+        return ledger == null ? Books.NONE : ledger.books();
+    }
+
+    @Override
+    public Runnable reread() {
+        Settings next = SettingsCommand.whole(Settings.read(Path.of(file)));
+        return () -> {
+            LogSetup.apply(next.block("log"));
+            if (ledger != null) {
+                next.block("ledger").map(LedgerSettings::of).ifPresent(ledger::reload);
+            }
+            List<String> stay = first.needRestart(next);
+            LOG.info("settings-reread", "settings reread"
+                    + (stay.isEmpty() ? "" : "; only a restart changes " + stay));
+        };
+    }
+
+    @Override
+    public void close() {
+        if (ledger != null) {
+            ledger.close();
+        }
+    }
+}
--- a/src/main/java/nettlewick/core/Attempt.java
+++ b/src/main/java/nettlewick/core/Attempt.java
@@ -7,6 +7,8 @@
 public final class Attempt extends Outgoing {
     private final Request request;
     private final int number;
+    private double startedAt = Double.NaN;
+    private double endedAt = Double.NaN;
 
     Attempt(Request request, int number, String worker, double sentAt) {
         super(worker, sentAt);
@@ -22,6 +24,28 @@
         return number;
     }
 
+    /** The worker tells that it has begun; only its first word counts. */
+    void started(double at) {
+        startedAt = Double.isNaN(startedAt) ? at : startedAt;
+    }
+
+    void endedAt(double at) {
+        endedAt = at;
+    }
+
+    /** Whether its start was told. */
+    boolean hasStarted() {
+        return !Double.isNaN(startedAt);
+    }
+
+    /**
+     * Milliseconds from its start to its end, or to that time while it is out; from its sending, if asked.
+     */
+    double span(double now, boolean fromSending) {
+        double from = fromSending ? sentAt() : startedAt;
+        return Double.isNaN(from) ? 0 : Math.max(0, (Double.isNaN(endedAt) ? now : endedAt) - from);
+    }
+
     /** How an attempt, or a probe, ended. {@code body} is the result where it was served, else null. */
     public record Outcome(Result result, byte[] body, Load load) {
         public static Outcome of(Result result) {
--- a/src/main/java/nettlewick/core/Core.java
+++ b/src/main/java/nettlewick/core/Core.java
@@ -32,6 +32,7 @@
     /** When to come back to a dispatcher that ends: it is started anew within seconds. */
     private static final double RESTART = 1000;
     private static final double NANOS = 1e6;
+    private static final double MICROS = 1e3;
     private static final int BATCH = 512;
     /** How often the workers left out are counted. */
     private static final double COUNT = 50;
@@ -43,6 +44,7 @@
     private final Settings settings;
     private final Transport transport;
     private final Figures figures;
+    private final Books books;
     private int maxOpen;
     private final BlockingQueue<Runnable> inbox = new LinkedBlockingQueue<>();
     private final PriorityQueue<Due> timers = new PriorityQueue<>();
@@ -85,10 +87,16 @@
     }
 
     public Core(Clock clock, Settings settings, long seed, int maxOpen, Transport transport) {
-        this(clock, settings, Dispatcher.create(settings, seed), maxOpen, transport);
+        this(clock, settings, seed, maxOpen, transport, Books.NONE);
     }
 
-    Core(Clock clock, Settings settings, Dispatcher module, int maxOpen, Transport transport) {
+    /** One whose books are kept. */
+    public Core(Clock clock, Settings settings, long seed, int maxOpen, Transport transport, Books books) {
+        this(clock, settings, Dispatcher.create(settings, seed), maxOpen, transport, books);
+    }
+
+    Core(Clock clock, Settings settings, Dispatcher module, int maxOpen, Transport transport, Books books) {
+        this.books = books;
         this.clock = clock;
         this.settings = settings;
         this.module = module;
@@ -115,6 +123,7 @@
         inbox.add(() -> {
             Open o = open.get(request.id());
             if (o != null && o.request == request && answer(o)) {
+                settle(request, o, Books.Ending.LEFT, null, () -> { });
                 batch.add(new Abandoned(request.id()));
                 forget(o);
             }
@@ -140,8 +149,10 @@
 
     /** An attempt shows a sign of life. */
     public void progress(Attempt attempt, double share) {
+        double at = clock.now();
         inbox.add(() -> {
             if (!attempt.over()) {
+                attempt.started(at);
                 batch.add(new Progress(attempt.request().id(), attempt.number(), attempt.worker(), share));
                 Open o = open.get(attempt.request().id());
                 if (o != null && !o.answered) {
@@ -193,9 +204,9 @@
         boolean harmless = o.attempts.isEmpty() || settings.classes().stream().anyMatch(c ->
                 c.name().equals(o.request.jobClass()) && c.repeat() == Repeat.RETRYABLE);
         if (harmless) {
-            o.request.caller().refused(settings.limits().retryAfter() ? RESTART : 0);
+            refuse(o.request, o, settings.limits().retryAfter() ? RESTART : 0);
         } else {
-            o.request.caller().failed("this dispatcher ends");
+            fail(o.request, o, "this dispatcher ends");
         }
         forget(o);
     }
@@ -286,15 +297,15 @@
         if (open.containsKey(r.id()) || past.contains(r.id())) {
             // Danger: the module takes an id once; a second request under it would never be answered. Nor may
             // one under the id of a request that has just ended run: a mark-submit would run twice.
-            r.caller().failed("the id of a request that was taken before");
+            fail(r, null, "the id of a request that was taken before");
             return;
         }
         if (unanswered >= maxOpen) {
-            r.caller().refused(settings.limits().maxRetryAfter() / NANOS / 2);
+            refuse(r, null, settings.limits().maxRetryAfter() / NANOS / 2);
             return;
         }
         if (r.deadline() <= now) {
-            r.caller().failed("the deadline has passed");
+            fail(r, null, "the deadline has passed");
             return;
         }
         Open o = new Open(r, now);
@@ -314,7 +325,7 @@
             LOG.warning("left-open", "request " + o.request.id() + " was left open until its deadline",
                     "request", o.request.id(), "member", o.request.tenant());
             batch.add(new Abandoned(o.request.id()));
-            o.request.caller().failed("no answer in time");
+            fail(o.request, o, "no answer in time");
             forget(o);
         }
     }
@@ -341,12 +352,13 @@
         if (!a.end()) {
             return;
         }
+        a.endedAt(at);
         Request r = a.request();
         Open o = open.get(r.id());
         boolean settled = o == null || o.answered;
         if (!settled && outcome.result() == Result.SERVED) {
             answer(o);
-            r.caller().served(outcome.body());
+            settle(r, o, Books.Ending.SERVED, a, () -> r.caller().served(outcome.body()));
             settled = true;
         }
         batch.add(new Outcome(r.id(), a.number(), a.worker(), outcome.result(), nanos(at - a.sentAt()),
@@ -371,6 +383,44 @@
         return first;
     }
 
+    private void refuse(Request r, Open o, double retryAfter) {
+        settle(r, o, Books.Ending.REFUSED, null, () -> r.caller().refused(retryAfter));
+    }
+
+    private void fail(Request r, Open o, String reason) {
+        settle(r, o, Books.Ending.FAILED, null, () -> r.caller().failed(reason));
+    }
+
+    /**
+     * Has the end entered in the books, which let the answer go; {@code by} is the attempt that served it.
+     */
+    private void settle(Request r, Open o, Books.Ending ending, Attempt by, Runnable answer) {
+        if (books == Books.NONE) {
+            answer.run();
+            return;
+        }
+        double work = 0;
+        boolean estimate = by != null && !by.hasStarted();
+        if (by != null) {
+            work = estimate && r.hint() > 0 ? r.hint() : by.span(now, estimate);
+        }
+        double spare = 0;
+        for (Attempt a : o == null ? List.<Attempt>of() : o.attempts) {
+            spare += a == by ? 0 : a.span(now, false);
+        }
+        Books.Job job = new Books.Job(r, ending, now, o == null ? 0 : o.attempts.size(),
+                Math.round(work * r.slots() * MICROS), estimate, Math.round(spare * r.slots() * MICROS));
+        Runnable overdue = books.settle(job, receipt -> {
+            if (receipt != Books.Receipt.NONE) {
+                r.caller().receipt(receipt);
+            }
+            answer.run();
+        });
+        if (overdue != null) {
+            after(Math.min(now + books.patience(), Math.max(now, r.deadline())), overdue);
+        }
+    }
+
     private void forget(Open o) {
         if (o.answered && !o.out() && open.remove(o.request.id(), o)) {
             past.add(o.request.id());
@@ -388,13 +438,13 @@
         } else if (action instanceof Refuse a) {
             Open o = open.get(a.id());
             if (o != null && answer(o)) {
-                o.request.caller().refused(a.retryAfter() / NANOS);
+                refuse(o.request, o, a.retryAfter() / NANOS);
                 forget(o);
             }
         } else if (action instanceof Fail a) {
             Open o = open.get(a.id());
             if (o != null && answer(o)) {
-                o.request.caller().failed("given up");
+                fail(o.request, o, "given up");
                 forget(o);
             }
         } else if (action instanceof Cancel c) {
--- a/src/main/java/nettlewick/core/Figures.java
+++ b/src/main/java/nettlewick/core/Figures.java
@@ -34,22 +34,35 @@
     /** One job from its taking to its end; only its first end counts. Belongs to one thread. */
     public final class Ticket {
         private final String jobClass;
+        private Books.Receipt owed = Books.Receipt.NONE;
         private boolean over;
 
         private Ticket(String jobClass) {
             this.jobClass = jobClass;
         }
 
+        /** The books wait for word of how it ends. */
+        public void owe(Books.Receipt receipt) {
+            if (over) {
+                receipt.left();
+            } else {
+                owed = receipt;
+            }
+        }
+
         /** The last byte of its answer is written. */
         public void answered(End end) {
             if (leave()) {
                 count(jobClass, end);
+                owed.answered();
             }
         }
 
         /** Its client has gone: no answer counts. */
         public void left() {
-            leave();
+            if (leave()) {
+                owed.left();
+            }
         }
 
         private boolean leave() {
--- a/src/main/java/nettlewick/core/Request.java
+++ b/src/main/java/nettlewick/core/Request.java
@@ -14,8 +14,20 @@
     public interface Cargo {
     }
 
+    /** A cargo that carries an idempotency key, or null in its place. */
+    public interface Keyed extends Cargo {
+        String idempotencyKey();
+    }
+
     /** The side that waits for a request. Exactly one of the three final answers comes. */
     public interface Caller {
+        /**
+         * The books wait for word of the final answer, which comes next. By default it counts as answered.
+         */
+        default void receipt(Books.Receipt receipt) {
+            receipt.answered();
+        }
+
         /** A sign of life: the share of the job that is done. Not final. */
         default void progress(double share) {
         }
--- /dev/null
+++ b/src/main/java/nettlewick/ledger/Archive.java
@@ -0,0 +1,79 @@
+package nettlewick.ledger;
+
+import java.io.ByteArrayOutputStream;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.EOFException;
+import java.io.IOException;
+import java.nio.channels.FileChannel;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.nio.file.StandardOpenOption;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.zip.GZIPInputStream;
+import java.util.zip.GZIPOutputStream;
+
+/** A period's entries in one compressed file, each as its bytes with their length before them. */
+final class Archive {
+    private static final int MAGIC = 0x4e574131;
+    private static final int ENTRY_MOST = 1 << 20;
+
+    private Archive() {
+    }
+
+    /** Writes the file beside its place, syncs and renames it; the sum of its bytes. */
+    static String write(Path file, List<Entry> entries, Faults faults) throws IOException {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        try (DataOutputStream out = new DataOutputStream(new GZIPOutputStream(bytes, 1 << 16))) {
+            out.writeInt(MAGIC);
+            for (Entry entry : entries) {
+                byte[] one = entry.bytes();
+                out.writeInt(one.length);
+                out.write(one);
+            }
+        }
+        Path beside = file.resolveSibling(file.getFileName() + ".part");
+        Files.createDirectories(file.toAbsolutePath().getParent());
+        Files.write(beside, bytes.toByteArray());
+        faults.at("archive-written");
+        try (FileChannel channel = FileChannel.open(beside, StandardOpenOption.WRITE)) {
+            channel.force(true);
+        }
+        Files.move(beside, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+        try (FileChannel channel = FileChannel.open(file.toAbsolutePath().getParent(),
+                StandardOpenOption.READ)) {
+            channel.force(true);
+        }
+        faults.at("archive-renamed");
+        return Batches.sum(bytes.toByteArray());
+    }
+
+    /** The entries of a file whose bytes have that sum. */
+    static List<Entry> read(Path file, String sum) throws IOException {
+        byte[] bytes = Files.readAllBytes(file);
+        if (!Batches.sum(bytes).equals(sum)) {
+            throw new IOException(file + " is not the file that was written: its sum is another");
+        }
+        List<Entry> entries = new ArrayList<>();
+        try (DataInputStream in = new DataInputStream(new GZIPInputStream(
+                new java.io.ByteArrayInputStream(bytes), 1 << 16))) {
+            if (in.readInt() != MAGIC) {
+                throw new IOException(file + " is not an archive of a ledger");
+            }
+            while (true) {
+                int length;
+                try {
+                    length = in.readInt();
+                } catch (EOFException e) {
+                    return entries;
+                }
+                if (length <= 0 || length > ENTRY_MOST) {
+                    throw new IOException(file + " holds an entry of " + length + " bytes");
+                }
+                entries.add(Entry.of(in.readNBytes(length)));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/nettlewick/ledger/Batches.java
@@ -0,0 +1,101 @@
+package nettlewick.ledger;
+
+import com.google.gson.stream.JsonWriter;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.OutputStreamWriter;
+import java.io.UncheckedIOException;
+import java.io.Writer;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.time.Instant;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Locale;
+import org.apache.commons.csv.CSVFormat;
+import org.apache.commons.csv.CSVPrinter;
+
+/** The bytes of a batch: the same entries give the same bytes, for ever. */
+final class Batches {
+    private static final String[] COLUMNS = {"dispatcher", "life", "number", "kind", "at", "member", "class",
+            "request",
+        "key", "end", "work_slot_ms", "estimate", "spare_slot_ms", "attempts", "jobs", "target", "by",
+                "text"};
+
+    private Batches() {
+    }
+
+    /** One line an entry: CSV with a head (RFC 4180), or JSON objects. */
+    static byte[] render(List<Entry> entries, boolean csv) {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream(entries.size() * 160);
+        try (Writer out = new OutputStreamWriter(bytes, StandardCharsets.UTF_8)) {
+            if (csv) {
+                CSVPrinter printer = new CSVPrinter(out, CSVFormat.RFC4180.builder().setHeader(COLUMNS)
+                        .get());
+                for (Entry e : entries) {
+                    printer.printRecord(values(e));
+                }
+                printer.flush();
+            } else {
+                for (Entry e : entries) {
+                    json(out, e);
+                }
+            }
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        return bytes.toByteArray();
+    }
+
+    private static void json(Writer out, Entry e) throws IOException {
+        JsonWriter json = new JsonWriter(out);
+        Object[] values = values(e);
+        json.beginObject();
+        for (int i = 0; i < COLUMNS.length; i++) {
+            if (values[i] != null) {
+                json.name(COLUMNS[i]);
+                if (values[i] instanceof Number n) {
+                    json.value(n);
+                } else {
+                    json.value(values[i].toString());
+                }
+            }
+        }
+        json.endObject();
+        json.flush();
+        out.write('\n');
+    }
+
+    private static Object[] values(Entry e) {
+        Ref r = e.ref();
+        return new Object[] {r.origin().dispatcher(), r.origin().life(), r.number(), word(e.kind()),
+                time(e.at()),
+            e.member(), e.jobClass(), e.request(), e.key(), word(e.end()), slotMillis(e.work()),
+            e.estimate() ? 1 : 0, slotMillis(e.spare()), e.attempts(), e.kind() == Entry.Kind.GAP ? e.job()
+                    : 1,
+            e.target(), e.by(), e.text()};
+    }
+
+    private static String word(Enum<?> value) {
+        return value.name().toLowerCase(Locale.ROOT);
+    }
+
+    static String time(double millis) {
+        return Instant.ofEpochMilli((long) Math.floor(millis)).toString();
+    }
+
+    /** Slot-milliseconds, with three decimals. */
+    static String slotMillis(long micros) {
+        return (micros < 0 ? "-" : "") + Math.abs(micros) / 1000 + '.'
+                + String.format(Locale.ROOT, "%03d", Math.abs(micros) % 1000);
+    }
+
+    static String sum(byte[] bytes) {
+        try {
+            return HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(bytes));
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/nettlewick/ledger/Entry.java
@@ -0,0 +1,200 @@
+package nettlewick.ledger;
+
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+import java.util.Map;
+import java.util.TreeMap;
+import nettlewick.core.Books.Ending;
+
+/**
+ * One line of the ledger; it is never changed. Work is in slot-microseconds, times are Unix milliseconds.
+ *
+ * @param at       when the answer's last byte was written; of other kinds, when the entry was made
+ * @param member   who is billed; "" where the job named nobody
+ * @param key      hash of the idempotency key, or null
+ * @param work     what is billed where it ended served; of a correction, the target's new value
+ * @param spare    work seen of second copies and lost attempts; never billed
+ * @param job      number of the job in its life; of a gap, how many jobs it stands for
+ * @param target   the entry that a correction corrects, else null
+ * @param by       who asked for a correction or a close, else null
+ * @param text     reason of a correction; period, bounds and vector of a close; bounds of a gap; else null
+ */
+public record Entry(Ref ref, Kind kind, double at, String member, String jobClass, String request, String key,
+        Ending end, long work, boolean estimate, long spare, int attempts, long job, Ref target, String by,
+        String text) {
+    /** Longest text of any field: the form on the wire holds no longer ones. */
+    static final int TEXT_MOST = 20_000;
+    private static final int FORM = 1;
+
+    /** What an entry says. */
+    public enum Kind {
+        /** A job was answered, or its client had left. */
+        JOB,
+        /** A job was let go, and nothing says whether its answer arrived: a crash came between. */
+        DOUBT,
+        /** An entry of the same dispatcher has another value. */
+        CORRECTION,
+        /** Jobs were answered that could not be entered one by one. */
+        GAP,
+        /** The dispatcher's part of a period is closed. */
+        CLOSE
+    }
+
+    /** A correction of an entry to a new value. */
+    static Entry correction(Ref ref, double at, Entry target, long work, String by, String reason) {
+        return new Entry(ref, Kind.CORRECTION, at, target.member, target.jobClass, target.request, target.key,
+                target.end, work, false, 0, 0, 0, target.ref, by, reason);
+    }
+
+    /** So many jobs, the first and the last answered at those times, are not entered one by one. */
+    static Entry gap(Ref ref, double from, double to, long jobs) {
+        return new Entry(ref, Kind.GAP, to, "", "", "", null, Ending.FAILED, 0, false, 0, 0, jobs, null, null,
+                from + " " + to);
+    }
+
+    /** The dispatcher's part of a period is what the vector covers. */
+    static Entry close(Ref ref, double at, Terms.Period period, Map<Origin, Long> vector, String by) {
+        return new Entry(ref, Kind.CLOSE, at, "", "", "", null, Ending.FAILED, 0, false, 0, 0, 0, null, by,
+                new Close(period, vector).text());
+    }
+
+    /** What a close says: the period and, for each origin, the last number that was held. */
+    public record Close(Terms.Period period, Map<Origin, Long> vector) {
+        private String text() {
+            StringBuilder text = new StringBuilder(period.name() + " " + period.from() + " " + period.to());
+            new TreeMap<>(vector).forEach((origin, number) -> text.append('\n').append(origin).append('/')
+                    .append(number));
+            return text.toString();
+        }
+
+        static Close parse(String text) {
+            String[] lines = text.split("\n");
+            String[] head = lines[0].split(" ");
+            Map<Origin, Long> vector = new TreeMap<>();
+            for (int i = 1; i < lines.length; i++) {
+                Ref last = Ref.parse(lines[i]);
+                vector.put(last.origin(), last.number());
+            }
+            return new Close(new Terms.Period(head[0], Double.parseDouble(head[1]),
+                    Double.parseDouble(head[2])),
+                    vector);
+        }
+
+        boolean covers(Ref ref) {
+            return vector.getOrDefault(ref.origin(), 0L) >= ref.number();
+        }
+    }
+
+    /** The close that this entry is. */
+    Close close() {
+        return Close.parse(text);
+    }
+
+    /** The same entry at another place of a chain. */
+    Entry at(Ref place) {
+        return new Entry(place, kind, at, member, jobClass, request, key, end, work, estimate, spare,
+                attempts, job,
+                target, by, text);
+    }
+
+    /** Its bytes, the same on every machine; the chain is made over them. */
+    byte[] bytes() {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream(160);
+        try (DataOutputStream out = new DataOutputStream(bytes)) {
+            out.writeByte(FORM);
+            out.writeByte(kind.ordinal());
+            out.writeUTF(ref.origin().dispatcher());
+            out.writeLong(ref.origin().life());
+            out.writeLong(ref.number());
+            out.writeDouble(at);
+            out.writeUTF(member);
+            out.writeUTF(jobClass);
+            out.writeUTF(request);
+            optional(out, key);
+            out.writeByte(end.ordinal());
+            out.writeLong(work);
+            out.writeBoolean(estimate);
+            out.writeLong(spare);
+            out.writeInt(attempts);
+            out.writeLong(job);
+            optional(out, target == null ? null : target.toString());
+            optional(out, by);
+            optional(out, text);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        return bytes.toByteArray();
+    }
+
+    private static void optional(DataOutputStream out, String text) throws IOException {
+        out.writeBoolean(text != null);
+        if (text != null) {
+            out.writeUTF(text);
+        }
+    }
+
+    private static String optional(DataInputStream in) throws IOException {
+        return in.readBoolean() ? in.readUTF() : null;
+    }
+
+    /** Reads {@link #bytes}; IllegalArgumentException for anything else. */
+    static Entry of(byte[] bytes) {
+        try (DataInputStream in = new DataInputStream(new ByteArrayInputStream(bytes))) {
+            if (in.readByte() != FORM) {
+                throw new IllegalArgumentException("an entry of another version");
+            }
+            Kind kind = Kind.values()[in.readByte()];
+            Ref ref = new Ref(new Origin(in.readUTF(), in.readLong()), in.readLong());
+            Entry entry = new Entry(ref, kind, in.readDouble(), in.readUTF(), in.readUTF(), in.readUTF(),
+                    optional(in), Ending.values()[in.readByte()], in.readLong(), in.readBoolean(),
+                            in.readLong(),
+                    in.readInt(), in.readLong(), target(optional(in)), optional(in), optional(in));
+            if (in.read() >= 0) {
+                throw new IllegalArgumentException("bytes after an entry");
+            }
+            return entry;
+        } catch (IOException | IndexOutOfBoundsException e) {
+            throw new IllegalArgumentException("no entry that can be read", e);
+        }
+    }
+
+    private static Ref target(String text) {
+        return text == null ? null : Ref.parse(text);
+    }
+
+    private static final ThreadLocal<MessageDigest> DIGEST = ThreadLocal.withInitial(() -> {
+        try {
+            return MessageDigest.getInstance("SHA-256");
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException(e);
+        }
+    });
+
+    /** The link of the chain that follows one with this hash ({@link #NO_HASH} before the first). */
+    static byte[] link(byte[] before, byte[] entry) {
+        MessageDigest digest = DIGEST.get();
+        digest.update(before);
+        return digest.digest(entry);
+    }
+
+    /** What stands before the first link. */
+    static final byte[] NO_HASH = new byte[32];
+
+    /** The hash under which a key is kept: 16 bytes of SHA-256, in hexadecimal. */
+    static String hash(String key) {
+        byte[] all = DIGEST.get().digest(key.getBytes(java.nio.charset.StandardCharsets.UTF_8));
+        return HexFormat.of().formatHex(all, 0, 16);
+    }
+
+    /** A text cut to what a field holds. */
+    static String fit(String text) {
+        return text == null ? "" : text.length() <= TEXT_MOST ? text : text.substring(0, TEXT_MOST);
+    }
+}
--- /dev/null
+++ b/src/main/java/nettlewick/ledger/Ledger.java
@@ -0,0 +1,503 @@
+package nettlewick.ledger;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
+import nettlewick.core.Books;
+import nettlewick.core.Clock;
+import nettlewick.core.Request;
+import nettlewick.log.Part;
+
+/**
+ * The books of a dispatcher that serves. The core and the event loop only put things into a queue; a thread
+ * writes intents to the spool and lets answers go, another enters ended jobs in the store. Whatever the disk
+ * does, answers leave, and what cannot be entered is counted.
+ */
+public final class Ledger implements Books, AutoCloseable {
+    private static final Part LOG = Part.of("ledger");
+    /** Pause after a failure of the disk before it is tried again. */
+    private static final double AGAIN = 1000;
+    private static final int GROUP_MOST = 4096;
+    private static final int COMMIT_MOST = 20_000;
+    private static final long MARK_LOOK = 200;
+    private static final long CLOSE_SECONDS = 10;
+    private static final long OPEN_SECONDS = 15;
+    private static final Origin NOBODY = new Origin("", 0);
+
+    /** A job from its end's decision to its entry. */
+    private final class Item implements Receipt {
+        final Entry draft;
+        final Consumer<Receipt> send;
+        final AtomicBoolean gone = new AtomicBoolean();
+        Spool.Place place;
+        boolean over;
+        volatile Entry entry;
+
+        Item(Entry draft, Consumer<Receipt> send) {
+            this.draft = draft;
+            this.send = send;
+        }
+
+        void release() {
+            if (gone.compareAndSet(false, true)) {
+                send.accept(this);
+            }
+        }
+
+        @Override
+        public void answered() {
+            end(true);
+        }
+
+        @Override
+        public void left() {
+            end(false);
+        }
+
+        private void end(boolean answered) {
+            // Danger: a time taken outside could be older than a flush that is in the queue before it.
+            synchronized (order) {
+                if (!over) {
+                    over = true;
+                    double at = clock.now();
+                    entry = Spool.ended(draft, at, answered);
+                    inbox.add(new End(this, at, answered));
+                }
+            }
+        }
+    }
+
+    private record End(Item item, double at, boolean answered) {
+    }
+
+    /** All that was answered before then is in the queue before this. */
+    private record Flush(double until) {
+    }
+
+    private final String dispatcher;
+    private final Clock clock;
+    private final Faults faults;
+    private volatile LedgerSettings settings;
+    private final Object order = new Object();
+    private final LinkedBlockingQueue<Object> inbox = new LinkedBlockingQueue<>();
+    private final LinkedBlockingQueue<Object> ended = new LinkedBlockingQueue<>();
+    private final AtomicLong jobs = new AtomicLong();
+    /** Jobs held in memory: from the decision to the commit of the entry. */
+    private final AtomicInteger held = new AtomicInteger();
+    private final Thread spooler;
+    private final Thread storer;
+    private final List<Spool> spools = new java.util.concurrent.CopyOnWriteArrayList<>();
+    /** Open as soon as intents can be written, or it is known that they cannot. */
+    private final CountDownLatch ready = new CountDownLatch(1);
+    private volatile boolean stopping;
+    private volatile boolean spooled;
+    private volatile Origin own = NOBODY;
+    private volatile long head;
+    // Figures
+    private final AtomicLong entered = new AtomicLong();
+    private final AtomicLong doubts = new AtomicLong();
+    private final AtomicLong missed = new AtomicLong();
+    private final AtomicLong overdue = new AtomicLong();
+    private volatile int troubles;
+    private volatile Map<String, Long> lags = Map.of();
+    // A gap that is not entered yet; guarded by order
+    private double gapFrom;
+    private double gapTo;
+    private long gapJobs;
+
+    public Ledger(String dispatcher, LedgerSettings settings, Clock clock) {
+        this(dispatcher, settings, clock, Faults.NONE);
+    }
+
+    Ledger(String dispatcher, LedgerSettings settings, Clock clock, Faults faults) {
+        this.dispatcher = dispatcher;
+        this.settings = settings;
+        this.clock = clock;
+        this.faults = faults;
+        spooler = new Thread(this::spool, "ledger-spool");
+        storer = new Thread(this::store, "ledger-store");
+        spooler.setDaemon(true);
+        storer.setDaemon(true);
+    }
+
+    /** Starts its threads; the store is opened by them, and tried again where that fails. */
+    public void start() {
+        storer.start();
+        spooler.start();
+    }
+
+    /**
+     * Waits until intents can be written, or the disk has said that they cannot. Danger: jobs answered before
+     * that would be in memory alone, and a kill would lose them.
+     */
+    public void await() {
+        try {
+            if (!ready.await(OPEN_SECONDS, TimeUnit.SECONDS)) {
+                LOG.warning("opens-slowly", "the ledger is not open after " + OPEN_SECONDS
+                        + " s; jobs are served, and wait in memory");
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Takes over what may change while it runs. */
+    public void reload(LedgerSettings next) {
+        settings = next;
+    }
+
+    LedgerSettings settings() {
+        return settings;
+    }
+
+    @Override
+    public double patience() {
+        return settings.patience();
+    }
+
+    /** What exports have not delivered yet, told by who exports. */
+    void lags(Map<String, Long> entries) {
+        lags = Map.copyOf(entries);
+    }
+
+    /**
+     * Paces this object's own work, in milliseconds: also while the clock that dates entries stands still.
+     */
+    static double pace() {
+        return System.nanoTime() / 1e6;
+    }
+
+    // The core's side
+
+    @Override
+    public Runnable settle(Job job, Consumer<Receipt> send) {
+        if (held.get() >= settings.queue()) {
+            synchronized (order) {
+                gapFrom = gapJobs == 0 ? job.at() : gapFrom;
+                gapTo = job.at();
+                gapJobs++;
+            }
+            missed.incrementAndGet();
+            send.accept(Receipt.NONE);
+            return null;
+        }
+        held.incrementAndGet();
+        Item item = new Item(draft(job), send);
+        if (job.ending() == Ending.LEFT) {
+            send.accept(Receipt.NONE);
+            item.gone.set(true);
+            inbox.add(item);
+            item.left();
+            return null;
+        }
+        inbox.add(item);
+        return () -> {
+            if (!item.gone.get()) {
+                overdue.incrementAndGet();
+                item.release();
+            }
+        };
+    }
+
+    private Entry draft(Job job) {
+        Request r = job.request();
+        String key = r.cargo() instanceof Request.Keyed keyed ? keyed.idempotencyKey() : null;
+        return new Entry(new Ref(NOBODY, 0), Entry.Kind.JOB, job.at(), Entry.fit(r.tenant()),
+                Entry.fit(r.jobClass()),
+                Entry.fit(r.id()), key == null ? null : Entry.hash(key), job.ending(), job.work(),
+                        job.estimate(),
+                job.spare(), job.attempts(), jobs.incrementAndGet(), null, null, null);
+    }
+
+    // The spool's thread
+
+    private void spool() {
+        Spool spool = null;
+        double again = 0;
+        List<Object> group = new ArrayList<>();
+        try {
+            while (!stopping || !inbox.isEmpty()) {
+                group.clear();
+                Object first = inbox.poll(MARK_LOOK, TimeUnit.MILLISECONDS);
+                if (first != null) {
+                    group.add(first);
+                    inbox.drainTo(group, GROUP_MOST);
+                }
+                Origin mine = own;
+                boolean other = spool == null || !spool.origin().equals(mine);
+                if (other && mine != NOBODY && pace() >= again) {
+                    // Danger: a life's files go only when its jobs are entered, be it under the next life.
+                    spool = openSpool(mine);
+                    again = pace() + AGAIN;
+                }
+                if (!group.isEmpty() && !write(spool, group)) {
+                    again = pace() + AGAIN;
+                }
+                pass(group);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } finally {
+            spooled = true;
+        }
+    }
+
+    private Spool openSpool(Origin life) {
+        try {
+            Spool spool = new Spool(settings.store(), life, faults);
+            spools.add(spool);
+            spool.begin();
+            ready.countDown();
+            return spool;
+        } catch (IOException e) {
+            trouble("spool-failed", "the spool cannot be written, and answers do not wait for it: " + e);
+            return null;
+        }
+    }
+
+    private boolean write(Spool spool, List<Object> group) {
+        if (spool == null) {
+            return true;
+        }
+        boolean intents = false;
+        for (Object o : group) {
+            if (o instanceof Item item) {
+                spool.intent(item.draft.at(new Ref(spool.origin(), 0)));
+                intents = true;
+            } else if (o instanceof End end) {
+                spool.ended(end.item().draft.job(), end.at(), end.answered());
+            }
+        }
+        try {
+            spool.write(settings.sync() && intents, head);
+            for (Object o : group) {
+                if (o instanceof Item item) {
+                    item.place = spool.place();
+                }
+            }
+            return true;
+        } catch (IOException | RuntimeException e) {
+            trouble("spool-failed", "the spool cannot be written, and answers do not wait for it: " + e);
+            return false;
+        }
+    }
+
+    /** Lets answers go, and hands ended jobs on. */
+    private void pass(List<Object> group) {
+        for (Object o : group) {
+            if (o instanceof Item item) {
+                try {
+                    item.release();
+                } catch (RuntimeException e) {
+                    LOG.fault("release-failed", "an answer could not be let go", e, "request",
+                            item.draft.request());
+                }
+            } else {
+                ended.add(o);
+            }
+        }
+    }
+
+    // The store's thread
+
+    private void store() {
+        Store store = null;
+        List<Item> items = new ArrayList<>();
+        double markLook = 0;
+        double flushTo = 0;
+        try {
+            while (true) {
+                boolean last = stopping && spooled && ended.isEmpty();
+                try {
+                    if (store == null) {
+                        store = openStore();
+                    }
+                    flushTo = Math.max(flushTo, gather(items, last));
+                    point("gathered");
+                    commit(store, items);
+                    if (flushTo > 0) {
+                        store.settled(own, flushTo);
+                        flushTo = 0;
+                    }
+                    if (pace() - markLook >= MARK_LOOK) {
+                        markLook = pace();
+                        look(store);
+                    }
+                    troubles = 0;
+                    if (last && items.isEmpty()) {
+                        return;
+                    }
+                } catch (StoreException e) {
+                    trouble("store-failed", "entries wait in memory: " + e.getMessage());
+                    store = afterFailure(store, e);
+                    if (last) {
+                        LOG.warning("not-entered", items.size() + " jobs are not entered yet; the next start "
+                                + "recovers those that the spool holds", "jobs", items.size());
+                        return;
+                    }
+                    TimeUnit.MILLISECONDS.sleep((long) AGAIN);
+                }
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } finally {
+            if (store != null) {
+                store.close();
+            }
+        }
+    }
+
+    private Store openStore() throws StoreException {
+        Store store = Store.open(settings.store(), dispatcher, faults);
+        try {
+            if (own == NOBODY) {
+                Recovery.Report report = Recovery.run(store, clock.now());
+                doubts.addAndGet(report.doubts());
+                if (!report.idle()) {
+                    LOG.info("recovered", "recovered " + report.answered() + " answered jobs, "
+                            + report.doubts()
+                            + " in doubt" + (report.damage().isEmpty() ? "" : "; damage: " + report.damage()),
+                            "answered", report.answered(), "doubts", report.doubts());
+                }
+                own = store.begin(clock.now());
+            }
+            return store;
+        } catch (StoreException e) {
+            store.close();
+            throw e;
+        }
+    }
+
+    /** Danger: a damaged file is evidence; it is put aside, and a new life begins in a new one. */
+    private Store afterFailure(Store store, StoreException e) {
+        if (!e.damaged()) {
+            return store;
+        }
+        if (store != null) {
+            store.close();
+        }
+        try {
+            LOG.warning("store-put-aside", "the store is damaged; it was put aside as "
+                    + Store.putAside(settings.store(), clock.now()) + " and a new one begins");
+            own = NOBODY;
+            head = 0;
+        } catch (IOException moved) {
+            trouble("store-failed", "the damaged store cannot be put aside: " + moved);
+        }
+        return null;
+    }
+
+    private void point(String name) throws StoreException {
+        try {
+            faults.at(name);
+        } catch (IOException e) {
+            throw new StoreException(e.getMessage(), e, false);
+        }
+    }
+
+    /** Waits for ended jobs, then for as long as a batch lasts; the time up to which all is gathered. */
+    private double gather(List<Item> items, boolean last) throws InterruptedException {
+        double flush = 0;
+        Object next = ended.poll(last || !items.isEmpty() ? 0 : MARK_LOOK, TimeUnit.MILLISECONDS);
+        double until = pace() + settings.batch();
+        while (next != null) {
+            if (next instanceof End end) {
+                items.add(end.item());
+            } else if (next instanceof Flush f) {
+                flush = f.until();
+            }
+            double wait = last || stopping ? 0 : until - pace();
+            next = items.size() >= COMMIT_MOST ? null
+                    : ended.poll(Math.max(0, (long) (wait * 1000)), TimeUnit.MICROSECONDS);
+        }
+        return flush;
+    }
+
+    private void commit(Store store, List<Item> items) throws StoreException {
+        List<Entry> drafts = new ArrayList<>(items.size() + 1);
+        items.forEach(i -> drafts.add(i.entry));
+        long gap;
+        synchronized (order) {
+            gap = gapJobs;
+            if (gap > 0) {
+                drafts.add(Entry.gap(new Ref(own, 0), gapFrom, gapTo, gap));
+            }
+        }
+        if (drafts.isEmpty()) {
+            return;
+        }
+        head = store.append(own, drafts);
+        synchronized (order) {
+            gapJobs -= gap;
+            gapFrom = gapTo;
+        }
+        if (gap > 0) {
+            LOG.warning("gap", gap + " jobs could not be entered one by one; a gap entry stands for them",
+                    "jobs", gap);
+        }
+        entered.addAndGet(items.size());
+        held.addAndGet(-items.size());
+        Map<Spool.Place, Integer> places = new java.util.IdentityHashMap<>();
+        items.stream().filter(i -> i.place != null).forEach(i -> places.merge(i.place, 1, Integer::sum));
+        places.forEach(Spool.Place::entered);
+        items.clear();
+    }
+
+    /** Whether a command that closes a period waits for this life. */
+    private void look(Store store) throws StoreException {
+        double until = store.marked();
+        if (until > 0 && clock.now() >= until && store.settled(own.life()) < until) {
+            synchronized (order) {
+                inbox.add(new Flush(clock.now()));
+            }
+        }
+    }
+
+    private void trouble(String event, String message) {
+        troubles++;
+        ready.countDown();
+        LOG.warning(event, message, "held", held.get(), "missed", missed.get());
+    }
+
+    @Override
+    public Map<String, Number> figures() {
+        Map<String, Number> figures = new LinkedHashMap<>();
+        figures.put("ledger.entries", entered.get());
+        figures.put("ledger.in_doubt", doubts.get());
+        figures.put("ledger.queue", held.get());
+        figures.put("ledger.gap", missed.get());
+        figures.put("ledger.unsynced", overdue.get());
+        figures.put("ledger.trouble", troubles > 0 ? 1 : 0);
+        lags.forEach((name, lag) -> figures.put("ledger.export." + name + ".lag", lag));
+        return figures;
+    }
+
+    /** The origin that it writes now, or null while the store is not open. */
+    Origin origin() {
+        return own == NOBODY ? null : own;
+    }
+
+    /** Enters what has ended and closes the store; jobs still out stay in the spool, for the next start. */
+    @Override
+    public void close() {
+        stopping = true;
+        try {
+            spooler.join(TimeUnit.SECONDS.toMillis(CLOSE_SECONDS));
+            storer.join(TimeUnit.SECONDS.toMillis(CLOSE_SECONDS));
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        if (!spooler.isAlive()) {
+            spools.forEach(Spool::close);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/nettlewick/ledger/LedgerSettings.java
@@ -0,0 +1,35 @@
+package nettlewick.ledger;
+
+import java.nio.file.Path;
+import java.util.List;
+import nettlewick.settings.Block;
+
+/**
+ * What the settings' block {@code ledger} says; times in milliseconds.
+ *
+ * @param sync     whether an answer waits until its intent is on the disk
+ * @param batch    how long entries are gathered for one commit
+ * @param patience how long an answer may wait for the disk
+ * @param queue    most jobs held in memory
+ */
+public record LedgerSettings(Path store, boolean sync, double batch, double patience, int queue, Terms terms,
+        double keyWindow, List<ExportSettings> exports, PeerSettings peers) {
+    private static final double SYNC_BATCH = 20;
+
+    /** Takes the block over; BadSettings for what its words alone do not show. */
+    public static LedgerSettings of(Block ledger) {
+        List<Object> mode = ledger.one("mode").orElseThrow().parts();
+        Terms terms;
+        try {
+            terms = new Terms(ledger.get("zone"), ledger.all("term").stream()
+                    .map(t -> new Terms.Term(t.part(0), t.part(2), t.part(4))).toList());
+        } catch (IllegalArgumentException e) {
+            throw ledger.bad("term", "in order: " + e.getMessage());
+        }
+        return new LedgerSettings(ledger.get("store"), mode.size() == 1,
+                mode.size() == 1 ? SYNC_BATCH : (Double) mode.get(1), ledger.span("patience"),
+                (int) ledger.whole("queue"), terms, ledger.span("key-window"),
+                ledger.blocks("export").stream().map(ExportSettings::of).toList(),
+                ledger.block("peers").map(PeerSettings::of).orElse(null));
+    }
+}
--- a/src/main/java/nettlewick/net/Node.java
+++ b/src/main/java/nettlewick/net/Node.java
@@ -11,10 +11,12 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import nettlewick.admin.AdminFront;
 import nettlewick.admin.Operations;
+import nettlewick.core.Books;
 import nettlewick.core.Clock;
 import nettlewick.core.Core;
 import nettlewick.core.Figures;
@@ -61,6 +63,7 @@
     private final AcceptGate gate;
     private final Context loop;
     private PeerSocket peers;
+    private Books books = Books.NONE;
     private Core core;
     private Subchannels subchannels;
     private ResolverWatch watch;
@@ -100,6 +103,12 @@
         admin = config.adminAddr() == null ? null : new AdminFront(config.adminAddr(), operations());
     }
 
+    /** Has the books kept; before the start. */
+    public Node keep(Books kept) {
+        books = kept;
+        return this;
+    }
+
     /** Starts all parts; done once the sockets listen. */
     public Future<Void> start() {
         Promise<Void> started = Promise.promise();
@@ -107,7 +116,8 @@
             boolean heir = succession != null && succession.shared();
             peers = new PeerSocket(vertx, config);
             subchannels = new Subchannels(vertx, loop, config, clock, peers);
-            core = new Core(clock, config.settings(), seed(heir), config.maxOpen(), subchannels);
+            core = new Core(clock, config.settings(), seed(heir), config.maxOpen(), subchannels,
+                    books);
             subchannels.bind(core);
             Front.Base base = new Front.Base(vertx, loop, config, clock, core, () -> holdsList && warm,
                     state, perFront);
@@ -223,6 +233,11 @@
                 return core.figures().snapshot();
             }
 
+            @Override
+            public Map<String, Number> more() {
+                return books.figures();
+            }
+
             @Override
             public Future<Boolean> ban(String runner, boolean out) {
                 Promise<Boolean> done = Promise.promise();
@@ -264,7 +279,7 @@
     }
 
     /** The port that operators call, or 0. */
-    int adminPort() {
+    public int adminPort() {
         return adminPort;
     }
 
@@ -283,7 +298,7 @@
     }
 
     /** Whether a list of sim runners is held. */
-    boolean holdsList() {
+    public boolean holdsList() {
         return holdsList;
     }
 
--- a/src/main/java/nettlewick/net/PlatformFront.java
+++ b/src/main/java/nettlewick/net/PlatformFront.java
@@ -8,6 +8,7 @@
 import io.vertx.core.http.HttpServerResponse;
 import java.util.Locale;
 import java.util.function.BooleanSupplier;
+import nettlewick.core.Books;
 import nettlewick.core.Clock;
 import nettlewick.core.Core;
 import nettlewick.core.Figures;
@@ -75,6 +76,11 @@
         tap.request(http, draft.rpc().body());
         Figures.Ticket ticket = core.figures().taken(draft.jobClass());
         Request request = draft.with(new Request.Caller() {
+            @Override
+            public void receipt(Books.Receipt receipt) {
+                loop.runOnContext(v -> ticket.owe(receipt));
+            }
+
             @Override
             public void served(byte[] result) {
                 loop.runOnContext(v -> answer(http, 200, Buffer.buffer(result), ticket));
--- a/src/main/java/nettlewick/net/Rpc.java
+++ b/src/main/java/nettlewick/net/Rpc.java
@@ -6,5 +6,5 @@
 
 /** What of an RPC goes on to a sim runner as it came: method, path with query, body and idempotency key. */
 public record Rpc(HttpMethod method, String uri, Buffer body, String idempotencyKey)
-        implements Request.Cargo {
+        implements Request.Keyed {
 }
--- a/src/main/java/nettlewick/sse/JobStream.java
+++ b/src/main/java/nettlewick/sse/JobStream.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
+import nettlewick.core.Books;
 import nettlewick.core.Figures;
 import nettlewick.core.Request;
 
@@ -23,6 +24,7 @@
     private Event progress;
     private Event end;
     private Request request;
+    private Books.Receipt owed = Books.Receipt.NONE;
 
     JobStream(String jobClass, String tenant, Consumer<Runnable> loop, Consumer<JobStream> onEnd) {
         this.jobClass = jobClass;
@@ -88,6 +90,7 @@
 
     /** Counts how it ended; one that nobody waited for any more counts nowhere. */
     void count(Figures.Ticket ticket) {
+        ticket.owe(owed);
         switch (end.name()) {
             case "result" -> ticket.answered(Figures.End.FULFILLED);
             case "unavailable" -> ticket.answered(Figures.End.THROTTLED);
@@ -121,6 +124,17 @@
         }
     }
 
+    @Override
+    public void receipt(Books.Receipt receipt) {
+        loop.accept(() -> {
+            if (end == null) {
+                owed = receipt;
+            } else {
+                receipt.left();
+            }
+        });
+    }
+
     @Override
     public void progress(double share) {
         loop.accept(() -> {
--- /dev/null
+++ b/src/test/java/nettlewick/cli/Child.java
@@ -0,0 +1,28 @@
+package nettlewick.cli;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+/** The program as a process of its own, to be killed for real. */
+public final class Child {
+    private Child() {
+    }
+
+    /** Starts a command; its log goes to that file. */
+    public static Process start(Path log, Map<String, String> environment,
+            String... words) throws IOException {
+        List<String> line = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java")
+                .toString(),
+                "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xshare:auto", "-cp",
+                System.getProperty("surefire.test.class.path", System.getProperty("java.class.path")),
+                "nettlewick.cli.Main"));
+        line.addAll(List.of(words));
+        ProcessBuilder builder = new ProcessBuilder(line).redirectErrorStream(true)
+                .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()));
+        builder.environment().putAll(environment);
+        return builder.start();
+    }
+}
--- /dev/null
+++ b/src/test/java/nettlewick/ledger/Entries.java
@@ -0,0 +1,24 @@
+package nettlewick.ledger;
+
+import nettlewick.core.Books.Ending;
+import nettlewick.ledger.Entry.Kind;
+
+/** Entries for tests. */
+final class Entries {
+    private Entries() {
+    }
+
+    static Entry job(Ref ref, double at, String member, String key, Ending end, long work) {
+        return new Entry(ref, Kind.JOB, at, member, "save-run", "r" + ref.number(), key, end, work, false, 5,
+                1,
+                ref.number(), null, null, null);
+    }
+
+    static Entry served(Ref ref, double at, String member, long work) {
+        return job(ref, at, member, null, Ending.SERVED, work);
+    }
+
+    static Ref ref(String dispatcher, long life, long number) {
+        return new Ref(new Origin(dispatcher, life), number);
+    }
+}
--- /dev/null
+++ b/src/test/java/nettlewick/ledger/LedgerTest.java
@@ -0,0 +1,372 @@
+package nettlewick.ledger;
+
+import static nettlewick.standins.StandIns.until;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.ZoneOffset;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import nettlewick.core.Books;
+import nettlewick.core.Books.Ending;
+import nettlewick.core.Clock;
+import nettlewick.core.Request;
+import nettlewick.ledger.Entry.Kind;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The books of a living process: what the disk does to it, clocks, closes, and two processes at once. */
+@Timeout(60)
+class LedgerTest {
+    private static final double DECEMBER = 1796083200000.0;
+
+    @TempDir
+    private Path dir;
+    private final List<Ledger> open = new ArrayList<>();
+
+    private LedgerSettings settings(boolean sync, double patience, int queue) {
+        return new LedgerSettings(dir, sync, 2, patience, queue, new Terms(ZoneOffset.UTC, List.of()), 15_000,
+                List.of(), null);
+    }
+
+    private Ledger ledger(LedgerSettings settings, Clock clock, Faults faults) {
+        Ledger ledger = new Ledger("a", settings, clock, faults);
+        open.add(ledger);
+        ledger.start();
+        return ledger;
+    }
+
+    @AfterEach
+    void close() {
+        open.forEach(Ledger::close);
+    }
+
+    private static Books.Job job(String id, Ending ending) {
+        return new Books.Job(new Request(id, "c", "m", null, 0, 1, 0, 0, false, null, null), ending,
+                DECEMBER, 1,
+                1000, false, 0);
+    }
+
+    /** A job whose answer is written as soon as it may leave. */
+    private static void answer(Ledger ledger, String id, Set<String> left) {
+        ledger.settle(job(id, Ending.SERVED), receipt -> {
+            synchronized (left) {
+                left.add(id);
+            }
+            receipt.answered();
+        });
+    }
+
+    private List<Entry> entries() throws StoreException {
+        List<Entry> all = new ArrayList<>();
+        try (Store store = Store.read(dir)) {
+            store.each(all::add);
+        }
+        return all;
+    }
+
+    private static boolean has(Ledger ledger, String figure, long value) {
+        return ledger.figures().get("ledger." + figure).longValue() == value;
+    }
+
+    @Test
+    void inSyncModeNoAnswerLeavesBeforeItsIntentIsForced() throws Exception {
+        CountDownLatch slow = new CountDownLatch(1);
+        AtomicInteger forced = new AtomicInteger();
+        Ledger ledger = ledger(settings(true, 60_000, 100), Clock.system(), point -> {
+            if (point.equals("spool-force")) {
+                forced.incrementAndGet();
+                await(slow);
+            }
+        });
+        ledger.await();
+        Set<String> left = new HashSet<>();
+        answer(ledger, "held", left);
+        until(() -> forced.get() > 0);
+        assertFalse(left.contains("held"));
+        slow.countDown();
+        until(() -> left.contains("held"));
+    }
+
+    private static void await(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    @Test
+    void aSlowDiskHoldsNoAnswerBeyondThePatienceAndNothingIsLost() throws Exception {
+        CountDownLatch slow = new CountDownLatch(1);
+        Ledger ledger = ledger(settings(true, 5, 100), Clock.system(), point -> {
+            if (point.equals("spool-force")) {
+                await(slow);
+            }
+        });
+        ledger.await();
+        Set<String> left = new HashSet<>();
+        List<Runnable> overdue = new ArrayList<>();
+        for (int i = 0; i < 10; i++) {
+            String id = "j" + i;
+            overdue.add(ledger.settle(job(id, Ending.SERVED), r -> {
+                synchronized (left) {
+                    left.add(id);
+                }
+                r.answered();
+            }));
+        }
+        overdue.forEach(Runnable::run);
+        assertEquals(10, left.size());
+        slow.countDown();
+        until(() -> has(ledger, "entries", 10) && has(ledger, "queue", 0));
+        assertEquals(10, entries().size());
+        overdue.forEach(Runnable::run);
+        assertEquals(10, left.size());
+    }
+
+    /**
+     * The disk is full for a while: jobs are served, the queue is bounded, a gap entry tells what passed it.
+     */
+    @Test
+    void aFullDiskCostsNoJobAndWhatPassesTheQueueIsAGapEntry() throws Exception {
+        AtomicBoolean full = new AtomicBoolean(true);
+        Ledger ledger = ledger(settings(false, 5, 20), Clock.system(), point -> {
+            if (full.get() && !point.equals("open")) {
+                throw new IOException("No space left on device");
+            }
+        });
+        Set<String> left = new HashSet<>();
+        for (int i = 0; i < 50; i++) {
+            answer(ledger, "j" + i, left);
+        }
+        until(() -> left.size() == 50);
+        assertTrue(has(ledger, "queue", 20) && has(ledger, "gap", 30), ledger.figures().toString());
+        until(() -> has(ledger, "trouble", 1));
+        full.set(false);
+        until(() -> has(ledger, "queue", 0) && has(ledger, "trouble", 0));
+        List<Entry> all = entries();
+        assertEquals(20, all.stream().filter(e -> e.kind() == Kind.JOB).count());
+        assertEquals(30, all.stream().filter(e -> e.kind() == Kind.GAP).mapToLong(Entry::job).sum());
+        try (Store store = Store.read(dir)) {
+            assertEquals(List.of(), store.verify());
+        }
+    }
+
+    @Test
+    void aSpoolThatCannotBeWrittenHoldsNothingUp() throws Exception {
+        AtomicBoolean bad = new AtomicBoolean(true);
+        Ledger ledger = ledger(settings(true, 60_000, 1000), Clock.system(), point -> {
+            if (bad.get() && point.startsWith("spool")) {
+                throw new IOException("read-only file system");
+            }
+        });
+        Set<String> left = new HashSet<>();
+        for (int i = 0; i < 100; i++) {
+            answer(ledger, "j" + i, left);
+        }
+        until(() -> left.size() == 100 && has(ledger, "entries", 100));
+        bad.set(false);
+        answer(ledger, "last", left);
+        until(() -> has(ledger, "entries", 101));
+        assertEquals(101, entries().stream().map(Entry::request).distinct().count());
+    }
+
+    @Test
+    void aDamagedStoreIsPutAsideAndANewOneBegins() throws Exception {
+        Files.writeString(dir.resolve(Store.FILE),
+                "no store, but a text that is long enough to be read as one");
+        Ledger ledger = ledger(settings(false, 5, 100), Clock.system(), Faults.NONE);
+        Set<String> left = new HashSet<>();
+        answer(ledger, "j", left);
+        until(() -> has(ledger, "entries", 1));
+        try (var files = Files.list(dir)) {
+            assertTrue(files.anyMatch(f -> f.getFileName().toString().contains(".damaged-")));
+        }
+    }
+
+    @Test
+    void aClientThatLeavesIsCountedAndNotBilledWhicheverComesFirst() throws Exception {
+        Ledger ledger = ledger(settings(false, 5, 100), Clock.system(), Faults.NONE);
+        ledger.settle(job("before", Ending.LEFT), r -> { });
+        ledger.settle(job("after", Ending.SERVED), Books.Receipt::left);
+        ledger.settle(job("both", Ending.SERVED), r -> {
+            r.answered();
+            r.left();
+        });
+        until(() -> has(ledger, "entries", 3));
+        assertEquals(Map.of("before", Ending.LEFT, "after", Ending.LEFT, "both", Ending.SERVED), entries()
+                .stream()
+                .collect(java.util.stream.Collectors.toMap(Entry::request, Entry::end)));
+        assertEquals(1000, entries().stream().mapToLong(Entry::work).sum());
+    }
+
+    /** A standing clock, one that jumps, and a job answered in the last and the first instant of a period. */
+    @Test
+    void theTimeOfTheLastByteDecidesThePeriod() throws Exception {
+        Clock clock = Clock.standing(DECEMBER - 1);
+        Ledger ledger = ledger(settings(false, 5, 100), clock, Faults.NONE);
+        List<Books.Receipt> receipts = new ArrayList<>();
+        for (int i = 0; i < 3; i++) {
+            ledger.settle(job("j" + i, Ending.SERVED), r -> {
+                synchronized (receipts) {
+                    receipts.add(r);
+                }
+            });
+        }
+        until(() -> receipts.size() == 3);
+        receipts.get(0).answered();
+        clock.set(DECEMBER);
+        receipts.get(1).answered();
+        clock.set(DECEMBER + 40 * 8.64e7);
+        receipts.get(2).answered();
+        until(() -> has(ledger, "entries", 3));
+        Desk desk = new Desk(settings(false, 5, 100), clock);
+        assertEquals(List.of("2026-11", "2026-12", "2027-01"), desk.statements(null).stream()
+                .map(Statement::period)
+                .toList());
+    }
+
+    /** Closing beside a living process waits for what it has answered; the answer decides, not the commit. */
+    @Test
+    void aCloseWaitsForWhatALivingProcessHasAnswered() throws Exception {
+        Clock clock = Clock.standing(DECEMBER - 5);
+        CountDownLatch commit = new CountDownLatch(1);
+        AtomicBoolean hold = new AtomicBoolean();
+        Ledger ledger = ledger(settings(false, 5, 100), clock, point -> {
+            if (hold.get() && point.equals("gathered")) {
+                await(commit);
+            }
+        });
+        until(() -> ledger.origin() != null);
+        hold.set(true);
+        Set<String> left = new HashSet<>();
+        answer(ledger, "early", left);
+        until(() -> left.contains("early"));
+        clock.set(DECEMBER + 5);
+        Desk desk = new Desk(settings(false, 5, 100), clock);
+        Desk.Refused soon = assertThrows(Desk.Refused.class, () -> desk.close("2026-12", "op"));
+        assertTrue(soon.misuse() && soon.getMessage().contains("ends at"), soon.getMessage());
+        Thread closer = new Thread(() -> {
+            try {
+                desk.close("2026-11", "op");
+            } catch (Desk.Refused | InterruptedException e) {
+                throw new IllegalStateException(e);
+            }
+        });
+        closer.start();
+        try (Store store = Store.read(dir)) {
+            until(() -> marked(store) == DECEMBER);
+            assertNull(closing(), "held until the entry is durable");
+        }
+        hold.set(false);
+        commit.countDown();
+        closer.join();
+        Statement statement = desk.statements("2026-11").get(0);
+        assertTrue(statement.closed());
+        assertEquals(1000, statement.billed());
+        assertThrows(Desk.Refused.class, () -> desk.close("2026-11", "op"));
+    }
+
+    private static double marked(Store store) {
+        try {
+            return store.marked();
+        } catch (StoreException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private Entry closing() throws StoreException {
+        return entries().stream().filter(e -> e.kind() == Kind.CLOSE).findFirst().orElse(null);
+    }
+
+    @Test
+    void aPeriodThatEndedWhileNobodyRanIsClosedFromWhatWasLeft() throws Exception {
+        Clock clock = Clock.standing(DECEMBER - 5);
+        Ledger ledger = ledger(settings(false, 5, 100), clock, Faults.NONE);
+        until(() -> ledger.origin() != null);
+        answer(ledger, "j", new HashSet<>());
+        ledger.close();
+        Desk desk = new Desk(settings(false, 5, 100), Clock.standing(DECEMBER + 1));
+        desk.close("2026-11", "op");
+        assertEquals(1000, desk.statements("2026-11").get(0).billed());
+        Ref target = entries().get(0).ref();
+        desk.correct(target.toString(), 400, "op", "half of it was ours");
+        assertEquals(1000, desk.statements("2026-11").get(0).billed());
+        assertEquals(-600, desk.statements("2026-12").get(0).billed());
+        for (String bad : List.of(target.toString(), "a/1/999", "nothing", closing().ref().toString())) {
+            assertTrue(assertThrows(Desk.Refused.class, () -> desk.correct(bad, 1, "op", "r")).misuse(), bad);
+        }
+    }
+
+    /** An upgrade: two processes on one store, each in a life of its own. */
+    @Test
+    void twoProcessesOnOneStoreEnterEachJobOnce() throws Exception {
+        Ledger old = ledger(settings(false, 5, 10_000), Clock.system(), Faults.NONE);
+        Ledger heir = ledger(settings(true, 500, 10_000), Clock.system(), Faults.NONE);
+        Set<String> left = new HashSet<>();
+        for (int i = 0; i < 2000; i++) {
+            answer(i % 2 == 0 ? old : heir, "j" + i, left);
+        }
+        until(() -> left.size() == 2000);
+        old.close();
+        until(() -> has(old, "entries", 1000) && has(heir, "entries", 1000));
+        heir.close();
+        assertEquals(2000, entries().stream().map(Entry::request).distinct().count());
+        assertEquals(2, entries().stream().map(e -> e.ref().origin()).distinct().count());
+        try (Store store = Store.read(dir)) {
+            assertEquals(List.of(), store.verify());
+        }
+        try (var files = Files.list(dir)) {
+            assertTrue(files.noneMatch(f -> f.getFileName().toString().startsWith("spool-")));
+        }
+    }
+
+    @Test
+    void aClosedAndExportedPeriodIsArchivedAndComesBackTheSame() throws Exception {
+        Clock clock = Clock.standing(DECEMBER - 5);
+        Path out = dir.resolve("out");
+        LedgerSettings s = new LedgerSettings(dir.resolve("s"), false, 2, 5, 100, new Terms(ZoneOffset.UTC,
+                List.of()), 15_000, List.of(new ExportSettings("x", out, null, true, 50, 1, 100, 1, 10, 3)),
+                        null);
+        Ledger ledger = new Ledger("a", s, clock);
+        ledger.start();
+        for (int i = 0; i < 20; i++) {
+            answer(ledger, "j" + i, new HashSet<>());
+        }
+        until(() -> has(ledger, "entries", 20));
+        ledger.close();
+        Desk desk = new Desk(s, Clock.standing(DECEMBER + 1));
+        Path file = dir.resolve("archive/2026-11.gz");
+        assertTrue(assertThrows(Desk.Refused.class, () -> desk.archive("2026-11", file)).getMessage()
+                .contains("not closed"));
+        desk.close("2026-11", "op");
+        Statement before = desk.statements("2026-11").get(0);
+        desk.export(null);
+        assertEquals(20, desk.archive("2026-11", file));
+        assertThrows(Desk.Refused.class, () -> desk.statements("2026-11"));
+        assertEquals(List.of(), desk.verify());
+        byte[] bytes = Files.readAllBytes(file);
+        bytes[bytes.length / 2] ^= 1;
+        Path changed = Files.write(dir.resolve("changed"), bytes);
+        assertTrue(assertThrows(Desk.Refused.class, () -> desk.restore("2026-11", changed)).getMessage()
+                .contains("its sum is another"));
+        assertEquals(20, desk.restore("2026-11", null));
+        assertEquals(before, desk.statements("2026-11").get(0));
+        assertEquals(List.of(), desk.verify());
+    }
+}
--- /dev/null
+++ b/src/test/java/nettlewick/ledger/ReconcileTest.java
@@ -0,0 +1,341 @@
+package nettlewick.ledger;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import inet.ipaddr.IPAddressString;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServer;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import nettlewick.core.Clock;
+import nettlewick.standins.StandIns;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Ledgers that bring each other up to date, and peers that lie, are cut off, slow, or forked. */
+@Timeout(60)
+class ReconcileTest {
+    private static final double NOW = 1793491200000.0;
+    private static final byte[] KEY = "0123456789abcdef0123456789abcdef".getBytes();
+
+    @TempDir
+    private Path dir;
+    private Vertx vertx;
+    private final Clock clock = Clock.system();
+    private final List<AutoCloseable> open = new ArrayList<>();
+
+    @BeforeEach
+    void begin() {
+        vertx = Vertx.vertx();
+    }
+
+    @AfterEach
+    void end() throws Exception {
+        for (AutoCloseable one : open) {
+            one.close();
+        }
+        StandIns.get(vertx.close());
+    }
+
+    private static PeerSettings settings(String... admit) {
+        return new PeerSettings(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), null,
+                java.util.Arrays.stream(admit).map(a -> new IPAddressString(a).getAddress().toPrefixBlock())
+                        .toList(),
+                List.of(), 10, 500, 7);
+    }
+
+    private Store store(String name) throws StoreException {
+        Store store = Store.open(dir.resolve(name), name.substring(0, 1), Faults.NONE);
+        open.add(store);
+        return store;
+    }
+
+    private static List<Entry> drafts(int count, String member) {
+        List<Entry> drafts = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            drafts.add(Entries.served(new Ref(new Origin("", 0), 0), NOW + i, member, i));
+        }
+        return drafts;
+    }
+
+    private int serve(Store store) throws Exception {
+        PeerFront front = new PeerFront(settings("127.0.0.0/8"), store.folder(), new Seal(KEY), clock);
+        open.add(0, front);
+        return StandIns.get(front.listen());
+    }
+
+    private PeerClient client(int port, double timeout) {
+        return new PeerClient(vertx, new InetSocketAddress(InetAddress.getLoopbackAddress(), port),
+                new Seal(KEY),
+                clock, timeout);
+    }
+
+    private Reconciler.Report round(Store to, int port) throws Exception {
+        return new Reconciler(to, client(port, 2000), 7).round();
+    }
+
+    private static Map<Origin, Long> numbers(Store store) throws StoreException {
+        Map<Origin, Long> numbers = new TreeMap<>();
+        store.heads().forEach((o, h) -> numbers.put(o, h.number()));
+        return numbers;
+    }
+
+    @Test
+    void eachComesToHoldWhatBothHoldAndThenNothingIsFetched() throws Exception {
+        Store a = store("a");
+        Store b = store("b");
+        Origin one = a.begin(NOW);
+        Origin two = b.begin(NOW);
+        a.append(one, drafts(40, "x"));
+        b.append(two, drafts(3, "y"));
+        int portA = serve(a);
+        int portB = serve(b);
+        assertEquals(40, round(b, portA).entries());
+        assertEquals(3, round(a, portB).entries());
+        assertEquals(numbers(a), numbers(b));
+        a.append(one, drafts(2, "x"));
+        assertEquals(2, round(b, portA).entries());
+        assertEquals(new Reconciler.Report(0, 0, List.of(), List.of()), round(b, portA));
+        assertEquals(List.of(), b.verify());
+    }
+
+    @Test
+    void aLostDiskIsRebuiltUnderANewLife() throws Exception {
+        Store a = store("a");
+        Store b = store("b");
+        Origin one = a.begin(NOW);
+        a.append(one, drafts(10, "x"));
+        round(b, serve(a));
+        Store rebuilt = store("a2");
+        Origin next = rebuilt.begin(NOW + 5000);
+        assertNotEquals(one, next);
+        rebuilt.append(next, drafts(1, "x"));
+        assertEquals(10, round(rebuilt, serve(b)).entries());
+        assertEquals(Map.of(one, 10L, next, 1L), numbers(rebuilt));
+        assertTrue(rebuilt.begin(0).life() > next.life());
+    }
+
+    /** The same life goes on from an old copy: both give numbers 6 and on, with other contents. */
+    @Test
+    void aForkIsFoundAtItsFirstEntryQuarantinedAndNeverMerged() throws Exception {
+        Store a = store("a");
+        Store b = store("b");
+        Origin one = a.begin(NOW);
+        a.append(one, drafts(5, "x"));
+        Store copy = store("a-copy");
+        int portA = serve(a);
+        round(copy, portA);
+        a.append(one, drafts(20, "x"));
+        copy.append(one, drafts(9, "forged"));
+        round(b, portA);
+        Reconciler.Report report = round(b, serve(copy));
+        assertEquals(1, report.forks().size());
+        assertTrue(report.forks().get(0).contains("entry 6 has two contents"), report.forks().toString());
+        a.append(one, drafts(1, "x"));
+        assertEquals(0, round(b, portA).entries(), "nothing of it is taken over any more");
+        assertTrue(b.verify().get(0).contains("quarantined"), b.verify().toString());
+        Reconciler.Report other = round(copy, portA);
+        assertEquals(1, other.forks().size(), "the shorter side finds it too");
+    }
+
+    // Peers that are not what they should be
+
+    /** A peer that seals its answers but may say what it likes. */
+    private int liar(java.util.function.Function<String, Buffer> says) throws Exception {
+        Seal seal = new Seal(KEY);
+        HttpServer server = vertx.createHttpServer().requestHandler(r -> {
+            Buffer body = says.apply(r.uri());
+            r.response().putHeader(PeerFront.SEAL, seal.answer(r.getHeader(PeerFront.NONCE), 200,
+                    body.getBytes()))
+                    .end(body);
+        });
+        return StandIns.get(server.listen(0, "127.0.0.1")).actualPort();
+    }
+
+    private static Buffer heads(Origin origin, long number, byte[] hash) {
+        return Buffer.buffer("[{\"d\":\"" + origin.dispatcher() + "\",\"l\":" + origin.life() + ",\"n\":"
+                + number
+                + ",\"h\":\"" + java.util.HexFormat.of().formatHex(hash) + "\"}]");
+    }
+
+    private static Buffer frames(List<byte[]> entries) {
+        Buffer all = Buffer.buffer();
+        entries.forEach(e -> all.appendInt(e.length).appendBytes(e));
+        return all;
+    }
+
+    @Test
+    void aPeerThatLiesChangesNothingAndAccusesNobody() throws Exception {
+        Store a = store("a");
+        Origin own = a.begin(NOW);
+        a.append(own, drafts(4, "x"));
+        Origin other = new Origin("c", 9);
+        byte[] wrong = new byte[32];
+        wrong[3] = 7;
+        String hex = java.util.HexFormat.of().formatHex(wrong);
+        List<byte[]> two = List.of(Entries.served(new Ref(other, 1), NOW, "m", 1).bytes(),
+                Entries.served(new Ref(other, 2), NOW, "m", 1).bytes());
+        List<byte[]> holed = List.of(two.get(0), Entries.served(new Ref(other, 3), NOW, "m", 1).bytes());
+        List<byte[]> foreign = List.of(Entries.served(new Ref(own, 1), NOW, "m", 1).bytes());
+        Buffer cut = frames(two).getBuffer(0, 60);
+        for (Buffer entries : List.of(frames(two), frames(holed), frames(foreign), cut, Buffer.buffer(),
+                frames(List.of(new byte[] {1, 2, 3})))) {
+            int port = liar(uri -> uri.startsWith(PeerFront.HEADS) ? heads(other, 2, wrong)
+                    : uri.startsWith(PeerFront.HASH) ? Buffer.buffer(hex) : entries);
+            Reconciler.Report report = round(a, port);
+            assertEquals(1, report.faults().size(), report.toString());
+            assertEquals(Map.of(own, 4L), numbers(a));
+        }
+        // It claims another hash for what is held here, and shows the same entry, or none that follows.
+        for (List<byte[]> shown : List.of(List.of(a.rows(own, 1, 1).get(0).bytes()), foreign)) {
+            int port = liar(uri -> uri.startsWith(PeerFront.HEADS) ? heads(own, 4, wrong)
+                    : uri.startsWith(PeerFront.HASH) ? Buffer.buffer(hex) : frames(shown));
+            Reconciler.Report report = round(a, port);
+            assertEquals(1, report.faults().size(), report.toString());
+            assertEquals(Map.of(), a.quarantined());
+        }
+        assertEquals(List.of(), a.verify());
+    }
+
+    @Test
+    void aPeerWithoutTheKeyIsNotBelievedAndASlowOneIsGivenUp() throws Exception {
+        Store a = store("a");
+        HttpServer mute = vertx.createHttpServer().requestHandler(r -> { });
+        int silent = StandIns.get(mute.listen(0, "127.0.0.1")).actualPort();
+        double before = clock.now();
+        assertThrows(IOException.class, () -> new Reconciler(a, client(silent, 60), 7).round());
+        assertTrue(clock.now() - before < 5000);
+        HttpServer trickle = vertx.createHttpServer().requestHandler(r -> {
+            r.response().setChunked(true).write("[");
+            r.response().exceptionHandler(e -> { });
+            vertx.setPeriodic(5, t -> {
+                if (r.response().closed()) {
+                    vertx.cancelTimer(t);
+                } else {
+                    r.response().write(" ");
+                }
+            });
+        });
+        int slow = StandIns.get(trickle.listen(0, "127.0.0.1")).actualPort();
+        assertThrows(IOException.class, () -> new Reconciler(a, client(slow, 60), 7).round());
+        HttpServer plain = vertx.createHttpServer().requestHandler(r -> r.response().end("[]"));
+        int unsealed = StandIns.get(plain.listen(0, "127.0.0.1")).actualPort();
+        assertTrue(assertThrows(IOException.class, () -> round(a, unsealed)).getMessage().contains("seal"));
+    }
+
+    /** Cut off halfway: what came whole is kept, and the next round goes on from there. */
+    @Test
+    void anExchangeThatIsCutOffGoesOnNextTime() throws Exception {
+        Store a = store("a");
+        Store b = store("b");
+        Origin one = a.begin(NOW);
+        a.append(one, drafts(40, "x"));
+        int port = serve(a);
+        PeerClient cut = new PeerClient(vertx, new InetSocketAddress(InetAddress.getLoopbackAddress(), port),
+                new Seal(KEY), clock, 2000) {
+            private int calls;
+
+            @Override
+            Buffer get(String uri) throws IOException, InterruptedException {
+                if (++calls > 6) {
+                    throw new IOException("cut off");
+                }
+                return super.get(uri);
+            }
+        };
+        Reconciler.Report half = new Reconciler(b, cut, 7).round();
+        assertEquals(1, half.faults().size());
+        long held = numbers(b).get(one);
+        assertTrue(held > 0 && held < 40, "held " + held);
+        round(b, port);
+        assertEquals(40, numbers(b).get(one));
+        assertEquals(List.of(), b.verify());
+    }
+
+    @Test
+    void callersAreAdmittedByNetworkSealTimeAndOnlyOnce() throws Exception {
+        Store a = store("a");
+        PeerFront closed = new PeerFront(settings("10.0.0.0/8", "::1"), a.folder(), new Seal(KEY), clock);
+        open.add(0, closed);
+        int port = StandIns.get(closed.listen());
+        HttpClient http = HttpClient.newHttpClient();
+        assertEquals(403, http.send(HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port
+                + "/ledger/heads"))
+                .build(), HttpResponse.BodyHandlers.discarding()).statusCode());
+        assertEquals(401, http.send(HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + serve(a)
+                + "/ledger/heads")).build(), HttpResponse.BodyHandlers.discarding()).statusCode());
+        Seal mine = new Seal(KEY);
+        Seal theirs = new Seal(KEY);
+        String nonce = "0".repeat(32);
+        String seal = mine.call("/x", nonce, NOW);
+        String time = Long.toString((long) NOW);
+        assertNull(theirs.fault("/x", nonce, time, seal, NOW + 59_000));
+        assertEquals("a call that was made before", theirs.fault("/x", nonce, time, seal, NOW + 59_500));
+        assertEquals("a call of another time", theirs.fault("/x", nonce, time, seal, NOW + 60_001));
+        assertEquals("a wrong seal", theirs.fault("/y", nonce, time, seal, NOW));
+        assertEquals("a wrong seal", new Seal("another key, which is also long enough".getBytes())
+                .fault("/x", nonce,
+                time, seal, NOW));
+        assertEquals("not sealed", theirs.fault("/x", null, time, seal, NOW));
+        assertTrue(mine.fits(nonce, 200, new byte[] {1}, theirs.answer(nonce, 200, new byte[] {1})));
+        assertTrue(!mine.fits(nonce, 200, new byte[] {2}, theirs.answer(nonce, 200, new byte[] {1})));
+    }
+
+    /** Three real services with listeners, keys from files and an export, as in service. */
+    @Test
+    void servicesReconcileByThemselves() throws Exception {
+        Path key = Files.write(dir.resolve("key"), KEY);
+        List<LedgerService> services = new ArrayList<>();
+        List<InetSocketAddress> addresses = new ArrayList<>();
+        for (int i = 0; i < 3; i++) {
+            LedgerService s = new LedgerService("d" + i, new LedgerSettings(dir.resolve("d" + i), false, 2,
+                    5, 1000,
+                    new Terms(java.time.ZoneOffset.UTC, List.of()), 15_000, List.of(new ExportSettings("x",
+                    dir.resolve("x" + i), null, true, 50, 20, 100, 1, 10, 3)), new PeerSettings(
+                    new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), key,
+                    settings("127.0.0.0/8").admit(), List.copyOf(addresses), 20, 2000, 100)), clock, 7);
+            s.start();
+            open.add(0, s);
+            services.add(s);
+            addresses.add(new InetSocketAddress(InetAddress.getLoopbackAddress(), s.port()));
+        }
+        for (int i = 0; i < 90; i++) {
+            services.get(i % 3).books().settle(new nettlewick.core.Books.Job(new nettlewick.core.Request("j"
+                    + i, "c",
+                    "m", null, 0, 1, 0, 0, false, null, null), nettlewick.core.Books.Ending.SERVED, NOW, 1,
+                            1000,
+                    false, 0), nettlewick.core.Books.Receipt::answered);
+        }
+        StandIns.until(() -> count("d2") == 90 && count("d1") == 60);
+        StandIns.until(() -> services.stream().allMatch(s -> s.books().figures()
+                .getOrDefault("ledger.export.x.lag", -1L).longValue() == 0));
+        assertEquals(30L, ExportTest.totals(ExportTest.files(dir.resolve("x2"))).get(0), "only its own");
+    }
+
+    private long count(String name) {
+        try (Store store = Store.read(dir.resolve(name))) {
+            return store.counts(false).getOrDefault(Entry.Kind.JOB, 0L);
+        } catch (StoreException e) {
+            return -1;
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/nettlewick/ledger/StoreProbe.java
@@ -0,0 +1,55 @@
+package nettlewick.ledger;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import nettlewick.core.Books.Ending;
+
+/** Looks into a store, and fills one, for tests of other packages. */
+public final class StoreProbe {
+    private static final double NOW = 1793491200000.0;
+
+    /** Request ids of what is entered and of what is in doubt, and the faults of its chains. */
+    public record Seen(List<String> entered, List<String> doubts, List<String> verify) {
+    }
+
+    private StoreProbe() {
+    }
+
+    /** Enters what dead lives left, then looks. */
+    public static Seen recover(LedgerSettings settings) throws StoreException {
+        try (Store store = Store.open(settings.store())) {
+            Recovery.run(store, NOW);
+            List<String> entered = new ArrayList<>();
+            List<String> doubts = new ArrayList<>();
+            store.each(e -> (e.kind() == Entry.Kind.DOUBT ? doubts : entered).add(e.request()));
+            return new Seen(entered, doubts, store.verify());
+        }
+    }
+
+    /** Enters so many jobs; adds their number and work to the totals. */
+    public static void fill(LedgerSettings settings, Random random, int count,
+            long[] total) throws StoreException {
+        try (Store store = Store.open(settings.store(), "a", Faults.NONE)) {
+            List<Entry> drafts = new ArrayList<>();
+            for (int i = 0; i < count; i++) {
+                long work = random.nextInt(100_000);
+                total[0]++;
+                total[1] += work;
+                drafts.add(Entries.job(new Ref(new Origin("", 0), 0), NOW, "m" + random.nextInt(9), null,
+                        Ending.SERVED, work));
+            }
+            store.append(store.begin(NOW), drafts);
+        }
+    }
+
+    public static List<Long> totals(Iterable<byte[]> batches) throws IOException {
+        return ExportTest.totals(batches);
+    }
+
+    public static List<byte[]> files(Path folder) throws IOException {
+        return ExportTest.files(folder);
+    }
+}
--- /dev/null
+++ b/src/test/java/nettlewick/ledger/StoreTest.java
@@ -0,0 +1,269 @@
+package nettlewick.ledger;
+
+import static nettlewick.ledger.Entries.served;
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.sql.Connection;
+import java.sql.DriverManager;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import nettlewick.core.Books.Ending;
+import nettlewick.ledger.Entry.Kind;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The store and the spool: chains, damage of every byte, and what a dead life leaves. */
+class StoreTest {
+    private static final double NOW = 1793491200000.0;
+
+    @TempDir
+    private Path dir;
+
+    private static List<Entry> drafts(int count) {
+        List<Entry> drafts = new ArrayList<>();
+        for (int i = 1; i <= count; i++) {
+            drafts.add(served(new Ref(new Origin("", 0), i), NOW + i, "m", i));
+        }
+        return drafts;
+    }
+
+    private Store open() throws StoreException {
+        return Store.open(dir, "a", Faults.NONE);
+    }
+
+    private void sql(String statement) throws Exception {
+        try (Connection c = DriverManager.getConnection("jdbc:sqlite:" + dir.resolve(Store.FILE))) {
+            c.createStatement().execute(statement);
+        }
+    }
+
+    @Test
+    void entriesReadBackAsTheyWereAndChainsGoOnAfterAReopening() throws Exception {
+        Entry odd = new Entry(new Ref(new Origin("", 0), 0), Kind.JOB, NOW, "a,\"b\"\nçé✓", "c", "r", "k",
+                Ending.FAILED,
+                Long.MAX_VALUE, true, -1, 3, 9, null, "by", "");
+        Origin own;
+        try (Store store = open()) {
+            own = store.begin(NOW);
+            assertEquals(3, store.append(own, drafts(3)));
+            assertEquals(4, store.append(own, List.of(odd)));
+        }
+        try (Store store = open()) {
+            assertEquals(5, store.append(own, drafts(1)));
+            assertEquals(odd.at(new Ref(own, 4)), store.entry(new Ref(own, 4)));
+            assertEquals(List.of(), store.verify());
+            Origin next = store.begin(NOW);
+            assertTrue(next.life() > own.life(), "two lives in one second have two numbers");
+        }
+        assertThrows(StoreException.class, () -> Store.open(dir, "b", Faults.NONE));
+    }
+
+    @Test
+    void tamperingIsToldWithItsPlace() throws Exception {
+        Origin own;
+        try (Store store = open()) {
+            own = store.begin(NOW);
+            store.append(own, drafts(9));
+        }
+        byte[] other = served(new Ref(own, 4), NOW, "thief", 1).bytes();
+        StringBuilder hex = new StringBuilder();
+        for (byte b : other) {
+            hex.append(String.format("%02x", b));
+        }
+        sql("UPDATE entry SET bytes = x'" + hex + "' WHERE number = 4");
+        sql("DELETE FROM entry WHERE number = 7");
+        try (Store store = open()) {
+            List<String> found = store.verify();
+            assertEquals(2, found.size(), found.toString());
+            assertTrue(found.get(0).startsWith(own + "/4: its hash"), found.toString());
+            assertTrue(found.get(1).startsWith(own + "/8: entries 7 to 7 are missing"), found.toString());
+        }
+    }
+
+    @Test
+    void aTailThatWasCutOffShowsByWhatNamesIt() throws Exception {
+        try (Store store = open()) {
+            Origin own = store.begin(NOW);
+            store.append(own, drafts(9));
+            store.cut("x", 100);
+        }
+        sql("DELETE FROM entry WHERE number > 6");
+        try (Store store = open()) {
+            assertTrue(store.verify().get(0).contains("ends at 6, but entry 9"), store.verify().toString());
+        }
+    }
+
+    @Test
+    void aBatchOnceCutIsTheSameForEver() throws Exception {
+        try (Store store = open()) {
+            Origin one = store.begin(NOW);
+            store.append(one, drafts(5));
+            Store.Batch first = store.cut("x", 4);
+            byte[] bytes = Exporter.parcel(store, first, true).bytes();
+            Origin two = store.begin(NOW);
+            store.append(two, drafts(2));
+            store.append(one, drafts(2));
+            Store.Batch second = store.cut("x", 100);
+            assertEquals(List.of(new Store.Range(one.life(), 5, 7), new Store.Range(two.life(), 1, 2)),
+                    second.ranges());
+            assertArrayEquals(bytes, Exporter.parcel(store, store.batch("x", 1), true).bytes());
+            assertEquals(null, store.cut("x", 100));
+            assertEquals(9, store.lag("x"));
+            assertEquals(first, store.pending("x"));
+            store.delivered(first);
+            assertEquals(5, store.lag("x"));
+        }
+    }
+
+    @Test
+    void aFileThatIsNoStoreIsPutAsideNotDeleted() throws Exception {
+        Files.writeString(dir.resolve(Store.FILE),
+                "this is not SQLite at all, but long enough to be looked at");
+        StoreException e = assertThrows(StoreException.class, this::open);
+        assertTrue(e.damaged());
+        Path aside = Store.putAside(dir, NOW);
+        assertTrue(Files.readString(aside).startsWith("this is not"));
+        open().close();
+    }
+
+    // The spool
+
+    private Spool spool(Origin own) throws IOException {
+        return new Spool(dir, own, Faults.NONE);
+    }
+
+    private static Entry draft(int job) {
+        return new Entry(new Ref(new Origin("a", 7), 0), Kind.JOB, NOW + job, "m", "c", "r" + job, null,
+                Ending.SERVED, job, false, 0, 1, job, null, null, null);
+    }
+
+    /** Leaves the lock and the files as a killed process would. */
+    private static void kill(Spool spool) throws Exception {
+        var field = Spool.class.getDeclaredField("lock");
+        field.setAccessible(true);
+        ((java.nio.channels.FileChannel) field.get(spool)).close();
+    }
+
+    @Test
+    void aDeadLifesJobsAreEnteredOrInDoubtAndNeverTwice() throws Exception {
+        try (Store store = open()) {
+            Origin own = store.begin(NOW);
+            Spool spool = spool(own);
+            for (int job = 1; job <= 4; job++) {
+                spool.intent(draft(job));
+            }
+            spool.ended(1, NOW + 50, true);
+            spool.ended(2, NOW + 51, false);
+            spool.ended(3, NOW + 52, true);
+            spool.write(true, 0);
+            store.append(own, List.of(Spool.ended(draft(1), NOW + 50, true)));
+            assertTrue(Recovery.run(store, NOW).idle(), "a living one's are left alone");
+            kill(spool);
+            Recovery.Report report = Recovery.run(store, NOW);
+            assertEquals(2, report.answered());
+            assertEquals(1, report.doubts());
+            List<Entry> all = new ArrayList<>();
+            store.each(all::add);
+            assertEquals(List.of(1L, 2L, 3L, 4L), all.stream().map(Entry::job).toList());
+            assertEquals(List.of(Ending.SERVED, Ending.LEFT, Ending.SERVED, Ending.SERVED),
+                    all.stream().map(Entry::end).toList());
+            assertEquals(Kind.DOUBT, all.get(3).kind());
+            assertEquals(0, all.get(1).work(), "what a client did not wait for is not billed");
+            assertTrue(Recovery.run(store, NOW).idle());
+            assertEquals(List.of(), store.verify());
+        }
+    }
+
+    /** Cut anywhere, what is whole before the cut is found, and nothing else is made of the rest. */
+    @Test
+    void aSpoolCutAtEveryByteOrWithAnyByteChangedNeverInventsAJob() throws Exception {
+        Origin own = new Origin("a", 7);
+        Spool spool = spool(own);
+        spool.intent(draft(1));
+        spool.ended(1, NOW, true);
+        spool.intent(draft(2));
+        spool.write(true, 0);
+        kill(spool);
+        Path file = dir.resolve("spool-7-000001.log");
+        byte[] whole = Files.readAllBytes(file);
+        int last = 0;
+        for (int cut = 0; cut <= whole.length; cut++) {
+            Files.write(file, java.util.Arrays.copyOf(whole, cut));
+            Spool.Found found = Spool.read(dir, 7);
+            int jobs = found == null ? 0 : found.intents().size();
+            assertTrue(jobs >= last && (found == null || found.damage().isEmpty()), "cut at " + cut);
+            last = jobs;
+        }
+        assertEquals(2, last);
+        for (int at = 0; at < whole.length; at++) {
+            byte[] changed = whole.clone();
+            changed[at] ^= 0x55;
+            Files.write(file, changed);
+            try {
+                Spool.Found found = Spool.read(dir, 7);
+                if (found != null) {
+                    for (Entry e : found.intents().values()) {
+                        assertEquals(draft((int) e.job()).work(), e.work());
+                    }
+                }
+            } catch (IOException e) {
+                assertTrue(e.getMessage().contains("not a spool"), e.toString());
+            }
+        }
+    }
+
+    @Test
+    void theSpoolOfAStoreThatWasLostIsInDoubtInAChainOfItsOwn() throws Exception {
+        Origin own = new Origin("a", 7);
+        Spool spool = spool(own);
+        spool.intent(draft(1));
+        spool.ended(1, NOW, true);
+        spool.write(true, 12);
+        kill(spool);
+        try (Store store = open()) {
+            assertEquals(1, Recovery.run(store, NOW).doubts());
+            assertEquals(0, store.head(own).number());
+            assertEquals(1L, store.counts(true).get(Kind.DOUBT));
+        }
+    }
+
+    @Test
+    void segmentsGoOnlyWhenAllTheirJobsAreEntered() throws Exception {
+        Origin own = new Origin("a", 7);
+        Spool spool = spool(own);
+        Random random = new Random(5);
+        List<Spool.Place> places = new ArrayList<>();
+        byte[] noise = new byte[9000];
+        for (int job = 1; job <= 2000; job++) {
+            random.nextBytes(noise);
+            Entry d = draft(job);
+            spool.intent(new Entry(d.ref(), d.kind(), d.at(), "m", "c", java.util.HexFormat.of()
+                    .formatHex(noise)
+                    .substring(0, 9000), null, d.end(), job, false, 0, 1, job, null, null, null));
+            spool.write(false, 0);
+            places.add(spool.place());
+        }
+        assertTrue(files() >= 3);
+        int before = files();
+        places.subList(0, 900).forEach(p -> p.entered(1));
+        assertEquals(before, files() + (places.get(0) == places.get(899) ? 0 : 1));
+        places.subList(900, 2000).forEach(p -> p.entered(1));
+        spool.close();
+        assertEquals(0, files());
+        assertFalse(Files.exists(dir.resolve("life-7.lock")));
+    }
+
+    private int files() throws IOException {
+        try (var all = Files.list(dir)) {
+            return (int) all.filter(f -> f.getFileName().toString().startsWith("spool-")).count();
+        }
+    }
+}
