--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # build, test, lint and run; `make run` wants ROUTER_CONFIG and its like, as the platform sets them.
-.PHONY: build test lint run edge demo clean
+.PHONY: build test lint run edge demo measure-ledger clean
 
 build:
 	mvn -q -DskipTests package
@@ -26,5 +26,10 @@
 	mvn -q -DskipTests package
 	java -XX:+UseSerialGC -jar target/nettlewick.jar demo
 
+# What the ledger costs and holds, in under a minute; the last lines are name=value. Wants the cores to itself.
+measure-ledger:
+	mvn -q -DskipTests test-compile dependency:build-classpath -Dmdep.outputFile=target/classpath
+	java -cp target/test-classes:target/classes:$$(cat target/classpath) nettlewick.ledger.MeasureLedger
+
 clean:
 	mvn -q clean
--- a/src/main/java/nettlewick/ledger/Batches.java
+++ b/src/main/java/nettlewick/ledger/Batches.java
@@ -21,7 +21,7 @@
     private static final String[] COLUMNS = {"dispatcher", "life", "number", "kind", "at", "member", "class",
             "request",
         "key", "end", "work_slot_ms", "estimate", "spare_slot_ms", "attempts", "jobs", "target", "by",
-                "text"};
+                "period", "text"};
 
     private Batches() {
     }
@@ -74,7 +74,8 @@
             e.member(), e.jobClass(), e.request(), e.key(), word(e.end()), slotMillis(e.work()),
             e.estimate() ? 1 : 0, slotMillis(e.spare()), e.attempts(), e.kind() == Entry.Kind.GAP ? e.job()
                     : 1,
-            e.target(), e.by(), e.text()};
+            e.target(), e.by(), e.kind() == Entry.Kind.JOB ? e.text() : null,
+            e.kind() == Entry.Kind.JOB ? null : e.text()};
     }
 
     private static String word(Enum<?> value) {
--- a/src/main/java/nettlewick/ledger/Desk.java
+++ b/src/main/java/nettlewick/ledger/Desk.java
@@ -49,7 +49,7 @@
 
     private <T> T write(Task<T> task) throws Refused, InterruptedException {
         try (Store store = Store.open(settings.store())) {
-            Recovery.run(store, clock.now());
+            Recovery.run(store, clock.now(), settings.terms());
             Origin own = store.begin(clock.now());
             try (AutoCloseable held = Spool.claim(settings.store(), own.life())) {
                 return task.run(store, own);
@@ -131,7 +131,7 @@
                 }
             }
             // A life that died meanwhile has left a spool.
-            Recovery.run(store, clock.now());
+            Recovery.run(store, clock.now(), settings.terms());
             store.close(own, period, clock.now(), by);
             return null;
         });
--- a/src/main/java/nettlewick/ledger/Entry.java
+++ b/src/main/java/nettlewick/ledger/Entry.java
@@ -24,7 +24,8 @@
  * @param job      number of the job in its life; of a gap, how many jobs it stands for
  * @param target   the entry that a correction corrects, else null
  * @param by       who asked for a correction or a close, else null
- * @param text     reason of a correction; period, bounds and vector of a close; bounds of a gap; else null
+ * @param text of a job, the name that its period had when it was entered; why one is in doubt; reason of a
+ *                 correction; period, bounds and vector of a close; bounds of a gap
  */
 public record Entry(Ref ref, Kind kind, double at, String member, String jobClass, String request, String key,
         Ending end, long work, boolean estimate, long spare, int attempts, long job, Ref target, String by,
@@ -104,6 +105,12 @@
                 target, by, text);
     }
 
+    /** The same job with the name of its period. */
+    Entry in(Terms terms) {
+        return kind != Kind.JOB ? this : new Entry(ref, kind, at, member, jobClass, request, key, end, work,
+                estimate, spare, attempts, job, target, by, terms.at(at).name());
+    }
+
     /** Its bytes, the same on every machine; the chain is made over them. */
     byte[] bytes() {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream(160);
--- a/src/main/java/nettlewick/ledger/Ledger.java
+++ b/src/main/java/nettlewick/ledger/Ledger.java
@@ -69,7 +69,7 @@
                 if (!over) {
                     over = true;
                     double at = clock.now();
-                    entry = Spool.ended(draft, at, answered);
+                    entry = Spool.ended(draft, at, answered).in(settings.terms());
                     inbox.add(new End(this, at, answered));
                 }
             }
@@ -360,7 +360,7 @@
         Store store = Store.open(settings.store(), dispatcher, faults);
         try {
             if (own == NOBODY) {
-                Recovery.Report report = Recovery.run(store, clock.now());
+                Recovery.Report report = Recovery.run(store, clock.now(), settings.terms());
                 doubts.addAndGet(report.doubts());
                 if (!report.idle()) {
                     LOG.info("recovered", "recovered " + report.answered() + " answered jobs, "
--- a/src/main/java/nettlewick/ledger/LedgerService.java
+++ b/src/main/java/nettlewick/ledger/LedgerService.java
@@ -134,15 +134,20 @@
     private void exports(String name) throws InterruptedException {
         RandomGenerator random = new java.util.SplittableRandom(seed ^ name.hashCode());
         String said = null;
-        ExportSettings first = export(name);
-        while (waited(export(name) == null ? LOOK : export(name).every())) {
-            // What only a restart changes stays as it was at the start.
-            ExportSettings now = export(name) == null ? first : export(name);
+        // An export that the settings name no longer goes on until the restart that this change needs.
+        ExportSettings now = export(name);
+        Target target = Exporter.target(now, Faults.NONE);
+        while (waited(now.every())) {
+            ExportSettings next = export(name) == null ? now : export(name);
+            if (next.timeout() != now.timeout()) {
+                target = Exporter.target(next, Faults.NONE);
+            }
+            now = next;
             if (ledger.origin() == null) {
                 continue;
             }
             try (Store store = Store.open(settings.store())) {
-                Exporter exporter = new Exporter(store, now, Exporter.target(first, Faults.NONE), random,
+                Exporter exporter = new Exporter(store, now, target, random,
                         millis -> waited(millis), Faults.NONE);
                 Exporter.Report report = exporter.round();
                 lags.put(name, store.lag(name));
--- a/src/main/java/nettlewick/ledger/Recovery.java
+++ b/src/main/java/nettlewick/ledger/Recovery.java
@@ -24,7 +24,7 @@
     }
 
     /** Recovers all dead lives of the store's folder; safe to cut off and to run again. */
-    static Report run(Store store, double now) throws StoreException {
+    static Report run(Store store, double now, Terms terms) throws StoreException {
         int answered = 0;
         int doubts = 0;
         List<String> damage = new ArrayList<>();
@@ -35,7 +35,7 @@
                     if (found == null) {
                         continue;
                     }
-                    List<Entry> missing = missing(store, found);
+                    List<Entry> missing = missing(store, found, terms);
                     enter(store, found, missing, now);
                     answered += (int) missing.stream().filter(e -> e.kind() == Kind.JOB).count();
                     doubts += (int) missing.stream().filter(e -> e.kind() == Kind.DOUBT).count();
@@ -81,7 +81,8 @@
     }
 
     /** The jobs of the spool that the store has no entry of. */
-    private static List<Entry> missing(Store store, Spool.Found found) throws StoreException {
+    private static List<Entry> missing(Store store, Spool.Found found, Terms terms)
+            throws StoreException {
         Store.Head head = store.head(found.origin());
         boolean lost = lost(store, found);
         String why = lost ? "life " + found.origin().life() + " was lost with its store"
@@ -110,7 +111,7 @@
             if (entered.contains(draft.job())) {
                 continue;
             }
-            missing.add(ended != null && !lost ? ended : doubt(draft, why));
+            missing.add(ended != null && !lost ? ended.in(terms) : doubt(draft, why));
         }
         return missing;
     }
--- a/src/main/java/nettlewick/settings/Table.java
+++ b/src/main/java/nettlewick/settings/Table.java
@@ -67,7 +67,7 @@
             Keyword.several("peer", "A dispatcher that is asked for its entries.", Type.address()),
             Keyword.of("every", Type.span(10, DAY), "30s", "How often each peer is asked.").changing(),
             Keyword.of("timeout", Type.span(10, HOUR), "5s", "How long a peer may take for one answer.")
-                    .changing(),
+                    ,
             Keyword.of("chunk", Type.whole(1, 100_000), "2000", "Most entries fetched at once.").changing()),
             List.of());
 
--- /dev/null
+++ b/src/test/java/nettlewick/ledger/MeasureLedger.java
@@ -0,0 +1,326 @@
+package nettlewick.ledger;
+
+import com.google.gson.Gson;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.PoolOptions;
+import io.vertx.core.http.RequestOptions;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.locks.LockSupport;
+import java.util.stream.Stream;
+import nettlewick.cli.Child;
+import nettlewick.core.Books;
+import nettlewick.core.Clock;
+import nettlewick.core.Request;
+import nettlewick.net.StandIns;
+import org.HdrHistogram.Histogram;
+
+/** {@code make measure-ledger}: what the ledger costs and holds; the last lines are {@code name=value}. */
+public final class MeasureLedger {
+    private static final double NOW = 1793491200000.0;
+    private static final int MILLION = 1_000_000;
+    private static final int ORIGINS = 5;
+    private static final int RUNNERS = 24;
+    private static final long SLICE_SECONDS = 2;
+    private static final int ROUNDS = 4;
+    private static final int OUTSTANDING = 4000;
+    private static final long THROUGHPUT_NANOS = 2_000_000_000L;
+
+    private final Path folder;
+    private final List<String> lines = new ArrayList<>();
+
+    private MeasureLedger(Path folder) {
+        this.folder = folder;
+    }
+
+    public static void main(String[] args) throws Exception {
+        if (args.length == 3 && args[0].equals("fill")) {
+            fill(Path.of(args[1]), Integer.parseInt(args[2]));
+            // As a kill would: no close, no checkpoint.
+            Runtime.getRuntime().halt(9);
+        }
+        Path folder = Files.createTempDirectory("nettlewick-measure");
+        try {
+            MeasureLedger measure = new MeasureLedger(folder);
+            measure.throughput("sync", true);
+            measure.throughput("batch", false);
+            measure.million();
+            measure.answers();
+            measure.lines.forEach(System.out::println);
+        } finally {
+            try (Stream<Path> files = Files.walk(folder)) {
+                files.sorted(Comparator.reverseOrder()).forEach(f -> f.toFile().delete());
+            }
+        }
+        System.exit(0);
+    }
+
+    private void say(String name, double value, String form) {
+        lines.add(name + "=" + String.format(Locale.ROOT, form, value));
+    }
+
+    private static LedgerSettings settings(Path store, boolean sync) {
+        return new LedgerSettings(store, sync, 20, 60_000, MILLION, new Terms(java.time.ZoneOffset.UTC,
+                List.of()),
+                15_000, List.of(), null);
+    }
+
+    // Entries a second through the whole of the ledger: intent, answer, entry
+
+    private void throughput(String name, boolean sync) throws Exception {
+        Ledger ledger = new Ledger("a", settings(folder.resolve(name), sync), Clock.system());
+        ledger.start();
+        ledger.await();
+        Semaphore room = new Semaphore(OUTSTANDING);
+        long began = System.nanoTime();
+        long jobs = 0;
+        while (System.nanoTime() - began < THROUGHPUT_NANOS) {
+            room.acquire();
+            ledger.settle(new Books.Job(new Request("00c0ffee" + jobs++, "step-view", "college-nord", null,
+                    0, 1, 0,
+                    0, false, null, null), Books.Ending.SERVED, NOW, 1, 120_000, false, 0), receipt -> {
+                        receipt.answered();
+                        room.release();
+                    });
+        }
+        ledger.close();
+        say("entries_per_s_" + name, ledger.figures().get("ledger.entries").doubleValue()
+                / ((System.nanoTime() - began) / 1e9), "%.0f");
+    }
+
+    // A million entries
+
+    private static void fill(Path store, int count) throws Exception {
+        try (Store s = Store.open(store, "a", Faults.NONE)) {
+            for (int o = 0; o < ORIGINS; o++) {
+                Origin origin = s.begin(NOW);
+                for (int done = 0; done < count / ORIGINS; done += 10_000) {
+                    s.append(origin, drafts(10_000, done));
+                }
+            }
+            Runtime.getRuntime().halt(9);
+        }
+    }
+
+    private static List<Entry> drafts(int count, int from) {
+        List<Entry> drafts = new ArrayList<>(count);
+        for (int i = 0; i < count; i++) {
+            drafts.add(new Entry(new Ref(new Origin("", 0), 0), Entry.Kind.JOB, NOW + from + i,
+                    "college-nord",
+                    i % 4 == 0 ? "save-run" : "step-view", String.format("%016x", (from + i) * 2654435761L),
+                    i % 4 == 0 ? Entry.hash("k" + from + i) : null, Books.Ending.SERVED, 120_000 + i, false,
+                            0, 1,
+                    from + i, null, null, null));
+        }
+        return drafts;
+    }
+
+    private static long size(Path store) throws IOException {
+        long size = 0;
+        try (Stream<Path> files = Files.list(store)) {
+            for (Path file : files.toList()) {
+                size += Files.size(file);
+            }
+        }
+        return size;
+    }
+
+    private void million() throws Exception {
+        Path one = folder.resolve("million");
+        Files.createDirectories(one);
+        Process filler = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java")
+                .toString(), "-cp",
+                System.getProperty("java.class.path"), MeasureLedger.class.getName(), "fill", one.toString(),
+                Integer.toString(MILLION)).inheritIO().start();
+        filler.waitFor();
+        long began = System.nanoTime();
+        Origin own;
+        try (Store store = Store.open(one, "a", Faults.NONE)) {
+            Recovery.run(store, NOW, settings(one, true).terms());
+            own = store.begin(NOW);
+            store.append(own, drafts(1, 0));
+        }
+        say("open_1m_s", (System.nanoTime() - began) / 1e9, "%.3f");
+        say("bytes_per_entry", (double) size(one) / MILLION, "%.0f");
+        Path two = folder.resolve("other");
+        Files.createDirectories(two);
+        Files.copy(one.resolve(Store.FILE), two.resolve(Store.FILE));
+        byte[] key = "0123456789abcdef0123456789abcdef".getBytes();
+        Vertx vertx = Vertx.vertx();
+        try (Store store = Store.open(one, "a", Faults.NONE); Store other = Store.open(two)) {
+            long ledger = 0;
+            for (Origin origin : store.heads().keySet()) {
+                store.append(origin, drafts(100 / (ORIGINS + 1) + 1, MILLION));
+                for (Store.Row row : store.rows(origin, 1, 1000)) {
+                    ledger += row.bytes().length;
+                }
+            }
+            ledger = ledger / (ORIGINS * 1000 + 1) * MILLION;
+            PeerFront front = new PeerFront(new PeerSettings(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+                    null, List.of(new inet.ipaddr.IPAddressString("127.0.0.0/8").getAddress()
+                            .toPrefixBlock()),
+                    List.of(), 10, 5000, 2000), one, new Seal(key), Clock.system());
+            int port = StandIns.get(front.listen());
+            PeerClient client = new PeerClient(vertx, new InetSocketAddress(InetAddress.getLoopbackAddress(),
+                    port),
+                    new Seal(key), Clock.system(), 5000);
+            began = System.nanoTime();
+            Reconciler.Report report = new Reconciler(other, client, 2000).round();
+            say("reconcile_s", (System.nanoTime() - began) / 1e9, "%.3f");
+            say("reconcile_entries", report.entries(), "%.0f");
+            say("reconcile_bytes", client.bytes(), "%.0f");
+            say("reconcile_share", (double) client.bytes() / ledger, "%.7f");
+            front.close();
+        }
+        StandIns.get(vertx.close());
+        began = System.nanoTime();
+        Book book = new Book(new Terms(java.time.ZoneOffset.UTC, List.of()), 15_000);
+        try (Store store = Store.read(one)) {
+            store.each(book::add);
+        }
+        book.periods();
+        say("statement_1m_s", (System.nanoTime() - began) / 1e9, "%.2f");
+    }
+
+    // Answers' latencies and CPU with the ledger off, in batch and in sync mode, in turns
+
+    private static final class Side {
+        final Process process;
+        final int port;
+        final Map<Integer, Histogram> histograms = new HashMap<>();
+        final Map<Integer, Double> cpu = new HashMap<>();
+        final Map<Integer, Long> jobs = new HashMap<>();
+
+        Side(Process process, int port) {
+            this.process = process;
+            this.port = port;
+        }
+
+        /** Seconds of CPU that the process has had. */
+        double used() throws IOException {
+            String stat = Files.readString(Path.of("/proc/" + process.pid() + "/stat"));
+            String[] fields = stat.substring(stat.lastIndexOf(')') + 2).split(" ");
+            return (Long.parseLong(fields[11]) + Long.parseLong(fields[12])) / 100.0;
+        }
+    }
+
+    private void answers() throws Exception {
+        try (StandIns world = new StandIns()) {
+            world.runTime = 6;
+            for (int i = 0; i < RUNNERS; i++) {
+                world.addRunner("s-" + i);
+            }
+            Map<String, Side> sides = new java.util.LinkedHashMap<>();
+            for (String mode : List.of("off", "batch", "sync")) {
+                int port;
+                try (ServerSocket free = new ServerSocket(0)) {
+                    port = free.getLocalPort();
+                }
+                Map<String, Object> config = world.config();
+                config.put("listen", "127.0.0.1:" + port);
+                Path file = Files.writeString(folder.resolve(mode + ".json"), new Gson().toJson(config));
+                Path conf = Files.writeString(folder.resolve(mode + ".conf"), mode.equals("off") ? ""
+                        : "ledger {\n"
+                        + "store " + folder.resolve("store-" + mode) + "\nmode " + mode
+                        + (mode.equals("batch") ? " 20ms" : "") + "\n}\n");
+                sides.put(mode, new Side(Child.start(folder.resolve(mode + ".log"), Map.of("ROUTER_CONFIG",
+                        file.toString()), "serve", "--settings", conf.toString()), port));
+            }
+            Vertx vertx = Vertx.vertx();
+            HttpClient client = vertx.createHttpClient(new HttpClientOptions().setTcpNoDelay(true),
+                    new PoolOptions().setHttp1MaxSize(100));
+            TimeUnit.SECONDS.sleep(2);
+            for (Side side : sides.values()) {
+                load(client, side, 600, 2, false);
+            }
+            List<Side> order = new ArrayList<>(sides.values());
+            for (int round = 0; round < ROUNDS; round++) {
+                for (int rate : new int[] {200, 1000}) {
+                    for (Side side : order) {
+                        load(client, side, rate, SLICE_SECONDS, true);
+                    }
+                }
+                java.util.Collections.rotate(order, 1);
+            }
+            Side off = sides.get("off");
+            for (int rate : new int[] {200, 1000}) {
+                sides.forEach((mode, side) -> {
+                    Histogram h = side.histograms.get(rate);
+                    say("p50_ms_" + mode + "_" + rate, h.getValueAtPercentile(50) / 1000.0, "%.2f");
+                    say("p99_ms_" + mode + "_" + rate, h.getValueAtPercentile(99) / 1000.0, "%.2f");
+                    say("cpu_ms_a_job_" + mode + "_" + rate, 1000 * side.cpu.get(rate) / side.jobs.get(rate),
+                            "%.3f");
+                });
+            }
+            for (String mode : List.of("batch", "sync")) {
+                Side side = sides.get(mode);
+                for (int rate : new int[] {200, 1000}) {
+                    String end = rate == 1000 ? "" : "_200";
+                    say("p99_ratio_" + mode + end, (double) side.histograms.get(rate).getValueAtPercentile(99)
+                            / off.histograms.get(rate).getValueAtPercentile(99), "%.3f");
+                    say("cpu_ratio_" + mode + end, side.cpu.get(rate) / off.cpu.get(rate), "%.3f");
+                }
+            }
+            for (Side side : sides.values()) {
+                side.process.destroyForcibly();
+                side.process.waitFor();
+            }
+            StandIns.get(vertx.close());
+        }
+    }
+
+    private final AtomicLong number = new AtomicLong();
+
+    /** Open loop: each job is counted from when it was to be sent. */
+    private void load(HttpClient client, Side side, int rate, long seconds, boolean count) throws Exception {
+        Histogram histogram = side.histograms.computeIfAbsent(rate, r -> new Histogram(60_000_000, 3));
+        double cpu = side.used();
+        long jobs = rate * seconds;
+        Semaphore done = new Semaphore(0);
+        long began = System.nanoTime();
+        for (long i = 0; i < jobs; i++) {
+            long intended = began + i * 1_000_000_000L / rate;
+            for (long wait = intended - System.nanoTime(); wait > 0; wait = intended - System.nanoTime()) {
+                LockSupport.parkNanos(wait);
+            }
+            client.request(new RequestOptions().setMethod(HttpMethod.POST).setHost("127.0.0.1")
+                    .setPort(side.port)
+                    .setURI("/api").putHeader("X-Request-Id", "q" + number.incrementAndGet())
+                    .putHeader("X-Class", "step-view").putHeader("X-Tenant", "red").putHeader("X-Deadline",
+                            "4"))
+                    .compose(r -> r.send(Buffer.buffer("{}"))).compose(r -> r.body()).onComplete(r -> {
+                        if (count) {
+                            synchronized (histogram) {
+                                histogram.recordValue(Math.min(60_000_000,
+                                        (System.nanoTime() - intended) / 1000));
+                            }
+                        }
+                        done.release();
+                    });
+        }
+        if (!done.tryAcquire((int) jobs, 20, TimeUnit.SECONDS)) {
+            throw new IllegalStateException("answers are missing");
+        }
+        if (count) {
+            side.cpu.merge(rate, side.used() - cpu, Double::sum);
+            side.jobs.merge(rate, jobs, Long::sum);
+        }
+    }
+}
--- a/src/test/java/nettlewick/ledger/StoreProbe.java
+++ b/src/test/java/nettlewick/ledger/StoreProbe.java
@@ -21,7 +21,7 @@
     /** Enters what dead lives left, then looks. */
     public static Seen recover(LedgerSettings settings) throws StoreException {
         try (Store store = Store.open(settings.store())) {
-            Recovery.run(store, NOW);
+            Recovery.run(store, NOW, settings.terms());
             List<String> entered = new ArrayList<>();
             List<String> doubts = new ArrayList<>();
             store.each(e -> (e.kind() == Entry.Kind.DOUBT ? doubts : entered).add(e.request()));
--- a/src/test/java/nettlewick/ledger/StoreTest.java
+++ b/src/test/java/nettlewick/ledger/StoreTest.java
@@ -24,6 +24,8 @@
 class StoreTest {
     private static final double NOW = 1793491200000.0;
 
+    private static final Terms TERMS = new Terms(java.time.ZoneOffset.UTC, List.of());
+
     @TempDir
     private Path dir;
 
@@ -165,9 +167,9 @@
             spool.ended(3, NOW + 52, true);
             spool.write(true, 0);
             store.append(own, List.of(Spool.ended(draft(1), NOW + 50, true)));
-            assertTrue(Recovery.run(store, NOW).idle(), "a living one's are left alone");
+            assertTrue(Recovery.run(store, NOW, TERMS).idle(), "a living one's are left alone");
             kill(spool);
-            Recovery.Report report = Recovery.run(store, NOW);
+            Recovery.Report report = Recovery.run(store, NOW, TERMS);
             assertEquals(2, report.answered());
             assertEquals(1, report.doubts());
             List<Entry> all = new ArrayList<>();
@@ -177,7 +179,7 @@
                     all.stream().map(Entry::end).toList());
             assertEquals(Kind.DOUBT, all.get(3).kind());
             assertEquals(0, all.get(1).work(), "what a client did not wait for is not billed");
-            assertTrue(Recovery.run(store, NOW).idle());
+            assertTrue(Recovery.run(store, NOW, TERMS).idle());
             assertEquals(List.of(), store.verify());
         }
     }
@@ -229,7 +231,7 @@
         spool.write(true, 12);
         kill(spool);
         try (Store store = open()) {
-            assertEquals(1, Recovery.run(store, NOW).doubts());
+            assertEquals(1, Recovery.run(store, NOW, TERMS).doubts());
             assertEquals(0, store.head(own).number());
             assertEquals(1L, store.counts(true).get(Kind.DOUBT));
         }
--- a/src/test/java/nettlewick/net/StandIns.java
+++ b/src/test/java/nettlewick/net/StandIns.java
@@ -25,7 +25,7 @@
         return start(config(), more);
     }
 
-    Node start(Map<String, Object> config, Front.Maker... more) throws Exception {
+    public Node start(Map<String, Object> config, Front.Maker... more) throws Exception {
         List<Front.Maker> fronts = new ArrayList<>(List.of(PlatformFront::new));
         fronts.addAll(List.of(more));
         node = new Node(Config.of(new Gson().toJson(config), Map.of()), Clock.system(),
