--- a/src/main/java/nettlewick/ledger/Ledger.java
+++ b/src/main/java/nettlewick/ledger/Ledger.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -70,15 +71,16 @@
                     over = true;
                     double at = clock.now();
                     entry = Spool.ended(draft, at, answered).in(settings.terms());
-                    inbox.add(new End(this, at, answered));
+                    Spool to = spool;
+                    if (place != null && to != null) {
+                        to.ended(draft.job(), at, answered);
+                    }
+                    ended.add(this);
                 }
             }
         }
     }
 
-    private record End(Item item, double at, boolean answered) {
-    }
-
     /** All that was answered before then is in the queue before this. */
     private record Flush(double until) {
     }
@@ -88,8 +90,10 @@
     private final Faults faults;
     private volatile LedgerSettings settings;
     private final Object order = new Object();
-    private final LinkedBlockingQueue<Object> inbox = new LinkedBlockingQueue<>();
-    private final LinkedBlockingQueue<Object> ended = new LinkedBlockingQueue<>();
+    /** Answers that wait until their intents are forced. */
+    private final LinkedBlockingQueue<Item> waiting = new LinkedBlockingQueue<>();
+    private final ConcurrentLinkedQueue<Object> ended = new ConcurrentLinkedQueue<>();
+    private volatile Spool spool;
     private final AtomicLong jobs = new AtomicLong();
     /** Jobs held in memory: from the decision to the commit of the entry. */
     private final AtomicInteger held = new AtomicInteger();
@@ -192,14 +196,20 @@
         }
         held.incrementAndGet();
         Item item = new Item(draft(job), send);
+        Spool to = spool;
+        item.place = to == null ? null : to.intent(item.draft);
         if (job.ending() == Ending.LEFT) {
             send.accept(Receipt.NONE);
             item.gone.set(true);
-            inbox.add(item);
             item.left();
             return null;
         }
-        inbox.add(item);
+        if (!settings.sync() || item.place == null) {
+            overdue.addAndGet(item.place == null ? 1 : 0);
+            item.release();
+            return null;
+        }
+        waiting.add(item);
         return () -> {
             if (!item.gone.get()) {
                 overdue.incrementAndGet();
@@ -218,92 +228,72 @@
                 job.spare(), job.attempts(), jobs.incrementAndGet(), null, null, null);
     }
 
-    // The spool's thread
+    // The spool's thread: makes its files, forces them, and lets answers go that wait for that
 
     private void spool() {
-        Spool spool = null;
         double again = 0;
-        List<Object> group = new ArrayList<>();
+        List<Item> group = new ArrayList<>();
         try {
-            while (!stopping || !inbox.isEmpty()) {
+            while (!stopping || !waiting.isEmpty()) {
                 group.clear();
-                Object first = inbox.poll(MARK_LOOK, TimeUnit.MILLISECONDS);
+                Item first = waiting.poll((long) Math.min(settings.batch(), MARK_LOOK),
+                        TimeUnit.MILLISECONDS);
                 if (first != null) {
                     group.add(first);
-                    inbox.drainTo(group, GROUP_MOST);
-                }
-                Origin mine = own;
-                boolean other = spool == null || !spool.origin().equals(mine);
-                if (other && mine != NOBODY && pace() >= again) {
-                    // Danger: a life's files go only when its jobs are entered, be it under the next life.
-                    spool = openSpool(mine);
-                    again = pace() + AGAIN;
+                    waiting.drainTo(group, GROUP_MOST);
                 }
-                if (!group.isEmpty() && !write(spool, group)) {
-                    again = pace() + AGAIN;
+                if (pace() >= again) {
+                    try {
+                        keep();
+                    } catch (IOException | RuntimeException e) {
+                        again = pace() + AGAIN;
+                        trouble("spool-failed", "the spool cannot be written, and answers do not wait for "
+                                + "it: " + e);
+                    }
                 }
-                pass(group);
+                group.forEach(this::release);
+            }
+            Spool last = spool;
+            if (last != null) {
+                last.force();
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
+        } catch (IOException e) {
+            trouble("spool-failed", "the spool cannot be written at the end: " + e);
         } finally {
             spooled = true;
         }
     }
 
-    private Spool openSpool(Origin life) {
-        try {
-            Spool spool = new Spool(settings.store(), life, faults);
-            spools.add(spool);
-            spool.begin();
-            ready.countDown();
-            return spool;
-        } catch (IOException e) {
-            trouble("spool-failed", "the spool cannot be written, and answers do not wait for it: " + e);
-            return null;
-        }
-    }
-
-    private boolean write(Spool spool, List<Object> group) {
-        if (spool == null) {
-            return true;
+    private void keep() throws IOException {
+        Origin mine = own;
+        Spool now = spool;
+        if (now != null) {
+            now.force();
         }
-        boolean intents = false;
-        for (Object o : group) {
-            if (o instanceof Item item) {
-                spool.intent(item.draft.at(new Ref(spool.origin(), 0)));
-                intents = true;
-            } else if (o instanceof End end) {
-                spool.ended(end.item().draft.job(), end.at(), end.answered());
+        if (mine != NOBODY && (now == null || !now.origin().equals(mine))) {
+            // Danger: a life's files go only when its jobs are entered, be it under the next life.
+            now = spools.stream().filter(s -> s.origin().equals(mine)).findFirst().orElse(null);
+            if (now == null) {
+                now = new Spool(settings.store(), mine, faults);
+                spools.add(now);
             }
         }
-        try {
-            spool.write(settings.sync() && intents, head);
-            for (Object o : group) {
-                if (o instanceof Item item) {
-                    item.place = spool.place();
-                }
-            }
-            return true;
-        } catch (IOException | RuntimeException e) {
-            trouble("spool-failed", "the spool cannot be written, and answers do not wait for it: " + e);
-            return false;
+        if (now != null) {
+            // The first makes the file that is written to where there is none, the second the next one.
+            now.prepare(head);
+            now.prepare(head);
+            spool = now;
+            ready.countDown();
         }
     }
 
-    /** Lets answers go, and hands ended jobs on. */
-    private void pass(List<Object> group) {
-        for (Object o : group) {
-            if (o instanceof Item item) {
-                try {
-                    item.release();
-                } catch (RuntimeException e) {
-                    LOG.fault("release-failed", "an answer could not be let go", e, "request",
-                            item.draft.request());
-                }
-            } else {
-                ended.add(o);
-            }
+    private void release(Item item) {
+        try {
+            item.release();
+        } catch (RuntimeException e) {
+            LOG.fault("release-failed", "an answer could not be let go", e, "request", item.draft.request());
         }
     }
 
@@ -404,20 +394,22 @@
         }
     }
 
-    /** Waits for ended jobs, then for as long as a batch lasts; the time up to which all is gathered. */
+    /** Takes what has ended since the last commit; the time up to which all is gathered. */
     private double gather(List<Item> items, boolean last) throws InterruptedException {
         double flush = 0;
-        Object next = ended.poll(last || !items.isEmpty() ? 0 : MARK_LOOK, TimeUnit.MILLISECONDS);
-        double until = pace() + settings.batch();
-        while (next != null) {
-            if (next instanceof End end) {
-                items.add(end.item());
+        if (!last && !stopping && items.isEmpty()) {
+            TimeUnit.MICROSECONDS.sleep((long) (settings.commit() * 1000));
+        }
+        while (items.size() < COMMIT_MOST) {
+            Object next = ended.poll();
+            if (next == null) {
+                return flush;
+            }
+            if (next instanceof Item item) {
+                items.add(item);
             } else if (next instanceof Flush f) {
                 flush = f.until();
             }
-            double wait = last || stopping ? 0 : until - pace();
-            next = items.size() >= COMMIT_MOST ? null
-                    : ended.poll(Math.max(0, (long) (wait * 1000)), TimeUnit.MICROSECONDS);
         }
         return flush;
     }
@@ -457,7 +449,7 @@
         double until = store.marked();
         if (until > 0 && clock.now() >= until && store.settled(own.life()) < until) {
             synchronized (order) {
-                inbox.add(new Flush(clock.now()));
+                ended.add(new Flush(clock.now()));
             }
         }
     }
--- a/src/main/java/nettlewick/ledger/LedgerSettings.java
+++ b/src/main/java/nettlewick/ledger/LedgerSettings.java
@@ -8,11 +8,13 @@
  * What the settings' block {@code ledger} says; times in milliseconds.
  *
  * @param sync     whether an answer waits until its intent is on the disk
- * @param batch    how long entries are gathered for one commit
+ * @param batch    how often the spool is forced where answers do not wait for it
+ * @param commit   how often ended jobs are moved from the spool into the store
  * @param patience how long an answer may wait for the disk
  * @param queue    most jobs held in memory
  */
-public record LedgerSettings(Path store, boolean sync, double batch, double patience, int queue, Terms terms,
+public record LedgerSettings(Path store, boolean sync, double batch, double commit, double patience,
+        int queue, Terms terms,
         double keyWindow, List<ExportSettings> exports, PeerSettings peers) {
     private static final double SYNC_BATCH = 20;
 
@@ -27,7 +29,8 @@
             throw ledger.bad("term", "in order: " + e.getMessage());
         }
         return new LedgerSettings(ledger.get("store"), mode.size() == 1,
-                mode.size() == 1 ? SYNC_BATCH : (Double) mode.get(1), ledger.span("patience"),
+                mode.size() == 1 ? SYNC_BATCH : (Double) mode.get(1), ledger.span("commit"),
+                        ledger.span("patience"),
                 (int) ledger.whole("queue"), terms, ledger.span("key-window"),
                 ledger.blocks("export").stream().map(ExportSettings::of).toList(),
                 ledger.block("peers").map(PeerSettings::of).orElse(null));
--- a/src/main/java/nettlewick/ledger/Spool.java
+++ b/src/main/java/nettlewick/ledger/Spool.java
@@ -1,7 +1,12 @@
 package nettlewick.ledger;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.lang.invoke.MethodHandles;
+import java.lang.invoke.VarHandle;
 import java.nio.ByteBuffer;
+import java.nio.ByteOrder;
+import java.nio.MappedByteBuffer;
 import java.nio.channels.FileChannel;
 import java.nio.channels.FileLock;
 import java.nio.channels.OverlappingFileLockException;
@@ -23,20 +28,24 @@
 import nettlewick.core.Books.Ending;
 
 /**
- * Intents and answers of one life before they are in the store: append-only files, each record with its
- * length
- * and CRC-32C. A lock file tells whether the life's process lives. One thread writes; any may tell of entered
- * jobs.
+ * Intents and answers of one life before they are in the store: append-only files of a fixed size, mapped
+ * into
+ * memory, each record with its length and CRC-32C. A lock file tells whether the life's process lives. Any
+ * thread
+ * may note records, which does no I/O; one thread makes the files and forces them.
  */
 final class Spool implements AutoCloseable {
-    private static final int MAGIC = 0x4e575331;
+    private static final int MAGIC = 0x4e575332;
     private static final int FRAME = 8;
-    private static final int RECORD_MOST = 1 << 20;
-    private static final long SEGMENT_MOST = 8 << 20;
+    private static final int ALIGNED = 4;
+    private static final int RECORD_MOST = 1 << 18;
+    private static final int SEGMENT = 4 << 20;
     private static final byte INTENT = 1;
     private static final byte ANSWERED = 2;
     private static final byte LEFT = 3;
     private static final Pattern NAME = Pattern.compile("spool-(\\d+)-(\\d{6})\\.log");
+    private static final VarHandle INTS = MethodHandles.byteBufferViewVarHandle(int[].class,
+            ByteOrder.BIG_ENDIAN);
 
     /** Where intents were written; any thread may tell it. */
     interface Place {
@@ -44,16 +53,18 @@
         void entered(int jobs);
     }
 
-    /** A file of the spool and how many of its jobs have no committed entry yet. */
+    /** A file of the spool and how many of its jobs have no committed entry yet. Guarded by the spool. */
     private final class Segment implements Place {
         final Path file;
-        final FileChannel channel;
-        long size;
+        final MappedByteBuffer bytes;
+        int at;
+        int forced;
         int open;
 
-        Segment(Path file, FileChannel channel) {
+        Segment(Path file, MappedByteBuffer bytes, int at) {
             this.file = file;
-            this.channel = channel;
+            this.bytes = bytes;
+            this.at = at;
         }
 
         @Override
@@ -75,9 +86,9 @@
     private final Faults faults;
     private final FileChannel lock;
     private final Deque<Segment> segments = new ArrayDeque<>();
+    private Segment current;
+    private Segment spare;
     private int next = 1;
-    private ByteBuffer buffer = ByteBuffer.allocate(64 * 1024);
-    private int intents;
 
     /** Makes a life's spool and holds its lock. */
     Spool(Path folder, Origin origin, Faults faults) throws IOException {
@@ -130,129 +141,140 @@
 
     // Writing
 
-    /** Makes the first file, so that the first job need not wait for it. */
-    void begin() throws IOException {
-        faults.at("spool-write");
-        segment(0);
+    Origin origin() {
+        return origin;
     }
 
-    /** A job is let go as soon as this is written: {@code draft} with its number in the life. */
-    void intent(Entry draft) {
+    /**
+     * Notes that a job is let go: {@code draft} with its number in the life. Copies bytes into mapped memory,
+     * which outlives a killed process; {@link #force} makes them outlive the machine's power.
+     *
+     * @return where it stands, or null where there is no room now
+     */
+    Place intent(Entry draft) {
         byte[] bytes = draft.bytes();
-        frame(1 + bytes.length).put(INTENT).put(bytes);
-        seal();
-        intents++;
+        return put(ByteBuffer.allocate(1 + bytes.length).put(INTENT).put(bytes), 1);
     }
 
-    /** What became of a job that was let go. */
+    /** Notes what became of a job that was let go. */
     void ended(long job, double at, boolean answered) {
-        frame(1 + 8 + 8).put(answered ? ANSWERED : LEFT).putLong(job).putDouble(at);
-        seal();
+        put(ByteBuffer.allocate(1 + 8 + 8).put(answered ? ANSWERED : LEFT).putLong(job).putDouble(at), 0);
     }
 
-    private int sealFrom;
-
-    private ByteBuffer frame(int length) {
-        if (buffer.remaining() < length + FRAME) {
-            ByteBuffer larger = ByteBuffer.allocate(Math.max(buffer.capacity() * 2, buffer.position()
-                    + length + FRAME));
-            buffer = larger.put(buffer.flip());
-        }
-        sealFrom = buffer.position() + FRAME;
-        return buffer.putInt(length).putInt(0);
-    }
-
-    private void seal() {
+    private Place put(ByteBuffer record, int jobs) {
+        byte[] bytes = record.array();
         CRC32C sum = new CRC32C();
-        sum.update(buffer.array(), sealFrom, buffer.position() - sealFrom);
-        buffer.putInt(sealFrom - 4, (int) sum.getValue());
-    }
-
-    /**
-     * Writes what was added, and forces it if asked. {@code head} is the last number that the store has
-     * committed for this life. After a failure what was added is dropped, and the next write begins a new
-     * file.
-     */
-    void write(boolean force, long head) throws IOException {
-        int jobs = intents;
-        intents = 0;
-        buffer.flip();
-        try {
-            if (!buffer.hasRemaining()) {
-                return;
-            }
-            Segment to = segment(head);
-            faults.at("spool-write");
-            while (buffer.hasRemaining()) {
-                to.size += to.channel.write(buffer);
+        sum.update(bytes);
+        int room = FRAME + (bytes.length + ALIGNED - 1) / ALIGNED * ALIGNED;
+        synchronized (this) {
+            if (current == null || current.at + room + FRAME > SEGMENT) {
+                current = spare;
+                spare = null;
             }
-            if (force) {
-                faults.at("spool-force");
-                to.channel.force(false);
+            Segment to = current;
+            if (to == null || bytes.length > RECORD_MOST) {
+                return null;
             }
-            synchronized (this) {
-                to.open += jobs;
+            try {
+                to.bytes.put(to.at + FRAME, bytes);
+                to.bytes.putInt(to.at + 4, (int) sum.getValue());
+                // Danger: the length makes the record count, so it comes last, whenever the process is
+                // killed.
+                INTS.setRelease(to.bytes, to.at, bytes.length);
+            } catch (InternalError e) {
+                // The disk under the mapped memory has failed.
+                current = null;
+                return null;
             }
-            wrote = to;
-        } catch (IOException e) {
-            abandonSegment();
-            throw e;
-        } finally {
-            buffer.clear();
+            to.at += room;
+            to.open += jobs;
+            return to;
         }
     }
 
-    private Segment wrote;
-
-    /** The file that the last write went to. */
-    Place place() {
-        return wrote;
-    }
-
-    Origin origin() {
-        return origin;
-    }
-
-    private Segment segment(long head) throws IOException {
-        Segment last = current;
-        if (last != null && last.size < SEGMENT_MOST) {
-            return last;
+    /**
+     * Sees to it that the next file is there: its blocks are allocated, so that the disk cannot be full when
+     * it is
+     * written. {@code head} is the last number that the store has committed for this life.
+     */
+    void prepare(long head) throws IOException {
+        synchronized (this) {
+            if (spare != null) {
+                return;
+            }
         }
+        faults.at("spool-write");
         Path file = folder.resolve(String.format("spool-%d-%06d.log", origin.life(), next++));
-        FileChannel channel = FileChannel.open(file, StandardOpenOption.CREATE_NEW, StandardOpenOption.WRITE);
         byte[] name = origin.dispatcher().getBytes(StandardCharsets.UTF_8);
-        ByteBuffer start = ByteBuffer.allocate(4 + 4 + name.length + 8 + 8).putInt(MAGIC).putInt(name.length)
-                .put(name).putLong(origin.life()).putLong(head).flip();
-        Segment made = new Segment(file, channel);
-        while (start.hasRemaining()) {
-            made.size += channel.write(start);
+        ByteBuffer start = ByteBuffer.allocate(SEGMENT).putInt(MAGIC).putInt(name.length).put(name)
+                .putLong(origin.life()).putLong(head);
+        int at = (start.position() + ALIGNED - 1) / ALIGNED * ALIGNED;
+        start.rewind();
+        Segment made;
+        try (FileChannel channel = FileChannel.open(file, StandardOpenOption.CREATE_NEW,
+                StandardOpenOption.READ,
+                StandardOpenOption.WRITE)) {
+            while (start.hasRemaining()) {
+                channel.write(start);
+            }
+            channel.force(true);
+            made = new Segment(file, channel.map(FileChannel.MapMode.READ_WRITE, 0, SEGMENT), at);
+        } catch (IOException e) {
+            Files.deleteIfExists(file);
+            throw e;
         }
-        channel.force(true);
         synchronized (this) {
             segments.add(made);
-            current = made;
+            spare = made;
+            if (current == null) {
+                current = made;
+                spare = null;
+            }
             sweep();
         }
-        return made;
     }
 
-    private Segment current;
+    /** All that was noted before the call is on the disk when it returns. Called by one thread. */
+    void force() throws IOException {
+        List<Segment> dirty = new ArrayList<>();
+        List<Integer> until = new ArrayList<>();
+        synchronized (this) {
+            for (Segment s : segments) {
+                if (s.at > s.forced) {
+                    dirty.add(s);
+                    until.add(s.at);
+                }
+            }
+        }
+        try {
+            for (int i = 0; i < dirty.size(); i++) {
+                faults.at("spool-force");
+                Segment s = dirty.get(i);
+                s.bytes.force(s.forced, until.get(i) - s.forced);
+                s.forced = until.get(i);
+            }
+        } catch (UncheckedIOException e) {
+            abandon();
+            throw e.getCause();
+        } catch (IOException e) {
+            abandon();
+            throw e;
+        }
+    }
 
-    private synchronized void abandonSegment() {
+    /** What could not be forced is not written to any more. */
+    private synchronized void abandon() {
         current = null;
+        spare = null;
     }
 
-    /**
-     * Danger: a file is deleted only when all of its jobs are in the store; until then it is all that is
-     * left.
-     */
+    /** Danger: a file is deleted only when all of its jobs are in the store. */
     private void sweep() {
         segments.removeIf(s -> {
-            if (s == current || s.open > 0) {
+            if (s == current || s == spare || s.open > 0) {
                 return false;
             }
             try {
-                s.channel.close();
                 Files.deleteIfExists(s.file);
             } catch (IOException e) {
                 // It is read again at the next start, which finds its jobs entered.
@@ -265,11 +287,9 @@
     @Override
     public synchronized void close() {
         current = null;
+        spare = null;
         sweep();
         try {
-            for (Segment s : segments) {
-                s.channel.close();
-            }
             if (segments.isEmpty()) {
                 Files.deleteIfExists(lockFile(folder, origin.life()));
             }
@@ -330,6 +350,7 @@
                 in.get(name);
                 Origin origin = new Origin(new String(name, StandardCharsets.UTF_8), in.getLong());
                 long head = in.getLong();
+                in.position(Math.min(in.limit(), (in.position() + ALIGNED - 1) / ALIGNED * ALIGNED));
                 found = found != null ? found : new Found(origin, head, new LinkedHashMap<>(),
                         new LinkedHashMap<>(),
                         files, new ArrayList<>());
@@ -337,8 +358,8 @@
                 return found;
             }
         }
-        // Danger: cut off in its head it holds no job; anything else is put aside, not deleted.
-        if (in.limit() >= 4 && in.getInt(0) != MAGIC) {
+        // Danger: cut off in its head, or all zeros there, it was never written to; all else is put aside.
+        if (in.limit() >= 4 && in.getInt(0) != MAGIC && in.getInt(0) != 0) {
             if (found != null) {
                 found.damage().add(file + ": not a spool");
             } else {
@@ -353,7 +374,11 @@
             int start = in.position();
             int length = in.getInt();
             int sum = in.getInt();
-            if (length <= 0 || length > RECORD_MOST) {
+            if (length == 0) {
+                // The rest of the file was never written to.
+                return;
+            }
+            if (length < 0 || length > RECORD_MOST) {
                 found.damage().add(file + ": no record at byte " + start);
                 return;
             }
@@ -362,6 +387,7 @@
             }
             byte[] record = new byte[length];
             in.get(record);
+            in.position(Math.min(in.limit(), (in.position() + ALIGNED - 1) / ALIGNED * ALIGNED));
             CRC32C check = new CRC32C();
             check.update(record);
             if ((int) check.getValue() != sum) {
--- a/src/main/java/nettlewick/settings/Table.java
+++ b/src/main/java/nettlewick/settings/Table.java
@@ -79,6 +79,8 @@
                     "`sync`: an answer leaves only after its intent is on the disk. `batch`: after it is "
                             + "written; "
                     + "the disk is told every SPAN."),
+            Keyword.of("commit", Type.span(1, 60_000), "250ms",
+                    "How often jobs that have ended are moved from the spool into the store.").changing(),
             Keyword.of("patience", Type.span(1, 60_000), "250ms",
                     "Longest that an answer waits for a disk that is slow; then it leaves all the same.")
                             .changing(),
