--- a/src/main/java/nettlewick/ledger/LedgerService.java
+++ b/src/main/java/nettlewick/ledger/LedgerService.java
@@ -27,6 +27,7 @@
     private static final long JOIN_SECONDS = 5;
     private static final double LOOK = 100;
 
+    private final String dispatcher;
     private final Ledger ledger;
     private final Clock clock;
     private final long seed;
@@ -40,6 +41,7 @@
 
     /** {@code seed} is for the pauses between tries. */
     public LedgerService(String dispatcher, LedgerSettings settings, Clock clock, long seed) {
+        this.dispatcher = dispatcher;
         this.settings = settings;
         this.clock = clock;
         this.seed = seed;
@@ -58,6 +60,7 @@
 
     /** Starts all of it; IOException where the key cannot be read or the listener not be opened. */
     public void start() throws IOException {
+        mine();
         Seal seal = settings.peers() == null ? null : seal(settings.peers().key());
         ledger.start();
         ledger.await();
@@ -77,6 +80,19 @@
         }
     }
 
+    /** Danger: two dispatchers that took one folder for theirs would bill each other's jobs. */
+    private void mine() throws IOException {
+        try (Store store = Store.read(settings.store())) {
+            if (store.dispatcher() != null && !store.dispatcher().equals(dispatcher)) {
+                throw new IOException(settings.store() + " is the ledger of " + store.dispatcher()
+                        + ", not of "
+                        + dispatcher);
+            }
+        } catch (StoreException e) {
+            // There is none yet, or it cannot be read: the ledger tells of that when it opens it.
+        }
+    }
+
     /** What clients of peers run on. */
     static Vertx clients() {
         return Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1)
--- a/src/main/java/nettlewick/ledger/PeerFront.java
+++ b/src/main/java/nettlewick/ledger/PeerFront.java
@@ -46,7 +46,6 @@
     private final Seal seal;
     private final Clock clock;
     private final Vertx vertx;
-    private Store store;
 
     PeerFront(PeerSettings settings, Path folder, Seal seal, Clock clock) {
         this.settings = settings;
@@ -112,26 +111,27 @@
         }
     }
 
+    /** Opens the store for each call: a damaged one may have been put aside since the last. */
     private Buffer read(String path, Map<String, String> asked) throws StoreException {
-        if (store == null) {
-            store = Store.read(folder);
+        try (Store store = Store.read(folder)) {
+            return switch (path) {
+                case HEADS -> {
+                    Map<Origin, Store.Head> heads = store.heads();
+                    yield digest(heads).equals(asked.get("digest")) ? Buffer.buffer() : heads(heads);
+                }
+                case HASH -> {
+                    List<Store.Row> rows = store.rows(origin(asked), number(asked, "n"), number(asked, "n"));
+                    yield Buffer.buffer(rows.isEmpty() ? "none" : HexFormat.of().formatHex(rows.get(0)
+                            .hash()));
+                }
+                case ENTRIES -> {
+                    long first = number(asked, "from");
+                    long last = Math.min(number(asked, "to"), first + ENTRIES_MOST - 1);
+                    yield entries(store.rows(origin(asked), first, last));
+                }
+                default -> throw new IllegalArgumentException("no such call");
+            };
         }
-        return switch (path) {
-            case HEADS -> {
-                Map<Origin, Store.Head> heads = store.heads();
-                yield digest(heads).equals(asked.get("digest")) ? Buffer.buffer() : heads(heads);
-            }
-            case HASH -> {
-                List<Store.Row> rows = store.rows(origin(asked), number(asked, "n"), number(asked, "n"));
-                yield Buffer.buffer(rows.isEmpty() ? "none" : HexFormat.of().formatHex(rows.get(0).hash()));
-            }
-            case ENTRIES -> {
-                long first = number(asked, "from");
-                yield entries(store.rows(origin(asked), first, Math.min(number(asked, "to"), first
-                        + ENTRIES_MOST - 1)));
-            }
-            default -> throw new IllegalArgumentException("no such call");
-        };
     }
 
     /** One digest for all chains: equal ones hold the same entries. */
@@ -193,9 +193,6 @@
         } catch (Exception e) {
             LOG.warning("peer-front", "the peers' listener did not close: " + e);
         }
-        if (store != null) {
-            store.close();
-        }
     }
 
     static String utf8(Buffer body) {
--- a/src/main/java/nettlewick/ledger/Spool.java
+++ b/src/main/java/nettlewick/ledger/Spool.java
@@ -1,7 +1,6 @@
 package nettlewick.ledger;
 
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.lang.invoke.MethodHandles;
 import java.lang.invoke.VarHandle;
 import java.nio.ByteBuffer;
@@ -43,7 +42,7 @@
     private static final byte INTENT = 1;
     private static final byte ANSWERED = 2;
     private static final byte LEFT = 3;
-    private static final Pattern NAME = Pattern.compile("spool-(\\d+)-(\\d{6})\\.log");
+    private static final Pattern NAME = Pattern.compile("spool-(\\d+)-(\\d{6})\\.(log|copy)");
     private static final VarHandle INTS = MethodHandles.byteBufferViewVarHandle(int[].class,
             ByteOrder.BIG_ENDIAN);
 
@@ -57,16 +56,37 @@
     private final class Segment implements Place {
         final Path file;
         final MappedByteBuffer bytes;
+        /**
+         * The copy that is forced. Danger: forcing the mapped file itself takes its pages from all cores, and
+         * whoever writes next waits for the disk.
+         */
+        final Path second;
+        final FileChannel copy;
         int at;
         int forced;
         int open;
 
-        Segment(Path file, MappedByteBuffer bytes, int at) {
+        Segment(Path file, ByteBuffer start, int at) throws IOException {
             this.file = file;
-            this.bytes = bytes;
+            second = file.resolveSibling(file.getFileName().toString().replace(".log", ".copy"));
+            try (FileChannel channel = made(file, start)) {
+                bytes = channel.map(FileChannel.MapMode.READ_WRITE, 0, SEGMENT);
+            }
+            copy = made(second, start);
+            forced = at;
             this.at = at;
         }
 
+        /** Brings what was noted up to there to the disk. */
+        void force(int until) throws IOException {
+            ByteBuffer news = bytes.slice(forced, until - forced);
+            for (long to = forced; news.hasRemaining();) {
+                to += copy.write(news, to);
+            }
+            copy.force(false);
+            forced = until;
+        }
+
         @Override
         public void entered(int jobs) {
             synchronized (Spool.this) {
@@ -211,14 +231,8 @@
         int at = (start.position() + ALIGNED - 1) / ALIGNED * ALIGNED;
         start.rewind();
         Segment made;
-        try (FileChannel channel = FileChannel.open(file, StandardOpenOption.CREATE_NEW,
-                StandardOpenOption.READ,
-                StandardOpenOption.WRITE)) {
-            while (start.hasRemaining()) {
-                channel.write(start);
-            }
-            channel.force(true);
-            made = new Segment(file, channel.map(FileChannel.MapMode.READ_WRITE, 0, SEGMENT), at);
+        try {
+            made = new Segment(file, start, at);
         } catch (IOException e) {
             Files.deleteIfExists(file);
             throw e;
@@ -234,6 +248,23 @@
         }
     }
 
+    /** A file whose blocks are on the disk, so that it cannot be full when they are written to. */
+    private static FileChannel made(Path file, ByteBuffer start) throws IOException {
+        FileChannel channel = FileChannel.open(file, StandardOpenOption.CREATE_NEW, StandardOpenOption.READ,
+                StandardOpenOption.WRITE);
+        try {
+            for (ByteBuffer rest = start.duplicate(); rest.hasRemaining();) {
+                channel.write(rest);
+            }
+            channel.force(true);
+            return channel;
+        } catch (IOException e) {
+            channel.close();
+            Files.deleteIfExists(file);
+            throw e;
+        }
+    }
+
     /** All that was noted before the call is on the disk when it returns. Called by one thread. */
     void force() throws IOException {
         List<Segment> dirty = new ArrayList<>();
@@ -249,13 +280,8 @@
         try {
             for (int i = 0; i < dirty.size(); i++) {
                 faults.at("spool-force");
-                Segment s = dirty.get(i);
-                s.bytes.force(s.forced, until.get(i) - s.forced);
-                s.forced = until.get(i);
+                dirty.get(i).force(until.get(i));
             }
-        } catch (UncheckedIOException e) {
-            abandon();
-            throw e.getCause();
         } catch (IOException e) {
             abandon();
             throw e;
@@ -275,7 +301,9 @@
                 return false;
             }
             try {
+                s.copy.close();
                 Files.deleteIfExists(s.file);
+                Files.deleteIfExists(s.second);
             } catch (IOException e) {
                 // It is read again at the next start, which finds its jobs entered.
             }
@@ -290,6 +318,9 @@
         spare = null;
         sweep();
         try {
+            for (Segment s : segments) {
+                s.copy.close();
+            }
             if (segments.isEmpty()) {
                 Files.deleteIfExists(lockFile(folder, origin.life()));
             }
@@ -325,7 +356,7 @@
     /** Reads the files of a life; null where it left none. */
     static Found read(Path folder, long life) throws IOException {
         List<Path> files = new ArrayList<>();
-        try (DirectoryStream<Path> all = Files.newDirectoryStream(folder, "spool-" + life + "-*.log")) {
+        try (DirectoryStream<Path> all = Files.newDirectoryStream(folder, "spool-" + life + "-*")) {
             for (Path file : all) {
                 if (NAME.matcher(file.getFileName().toString()).matches()) {
                     files.add(file);
--- a/src/main/java/nettlewick/ledger/Terms.java
+++ b/src/main/java/nettlewick/ledger/Terms.java
@@ -29,6 +29,8 @@
 
     private final ZoneId zone;
     private final List<Period> terms = new ArrayList<>();
+    /** The one found last: nearly all questions are about the present. */
+    private volatile Period last;
 
     /** IllegalArgumentException where terms overlap, are empty, or share a name. */
     public Terms(ZoneId zone, List<Term> given) {
@@ -61,6 +63,15 @@
 
     /** The period that a time belongs to. */
     public Period at(double time) {
+        Period known = last;
+        if (known == null || !known.holds(time)) {
+            known = find(time);
+            last = known;
+        }
+        return known;
+    }
+
+    private Period find(double time) {
         for (Period term : terms) {
             if (term.holds(time)) {
                 return term;
--- a/src/test/java/nettlewick/ledger/ReconcileTest.java
+++ b/src/test/java/nettlewick/ledger/ReconcileTest.java
@@ -325,6 +325,9 @@
                             1000,
                     false, 0), nettlewick.core.Books.Receipt::answered);
         }
+        LedgerService thief = new LedgerService("d9", services.get(0).books().settings(), clock, 7);
+        assertTrue(assertThrows(IOException.class, thief::start).getMessage()
+                .contains("the ledger of d0, not of"));
         StandIns.until(() -> count("d2") == 90 && count("d1") == 60);
         StandIns.until(() -> services.stream().allMatch(s -> s.books().figures()
                 .getOrDefault("ledger.export.x.lag", -1L).longValue() == 0));
