--- a/src/test/java/nettlewick/cli/MainTest.java
+++ b/src/test/java/nettlewick/cli/MainTest.java
@@ -1,6 +1,8 @@
 package nettlewick.cli;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.google.gson.JsonObject;
@@ -12,10 +14,12 @@
 import java.util.concurrent.Semaphore;
 import nettlewick.ledger.LedgerSettings;
 import nettlewick.ledger.StoreProbe;
+import nettlewick.settings.BadSettings;
 import nettlewick.settings.Settings;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
+import org.slf4j.LoggerFactory;
 
 /** The command line: one plain line and an exit code for whatever is wrong. */
 class MainTest {
@@ -89,6 +93,24 @@
         run(2, "settings", "check", dir.resolve("none").toString());
     }
 
+    /** Guards against a file that is half taken over: it is read whole before anything of it counts. */
+    @Test
+    void settingsThatAreReadAgainCountWholeOrNotAtAll(@TempDir Path dir) throws Exception {
+        Path file = Files.writeString(dir.resolve("c"), "log {\nlevel error\n}\n");
+        SettingsFile settings = new SettingsFile(file.toString());
+        try {
+            Files.writeString(file, "log {\nlevel debug\n}\nedge {\n}\n");
+            assertTrue(assertThrows(BadSettings.class, settings::reread).getMessage()
+                    .contains("c:4: edge lacks"));
+            assertFalse(LoggerFactory.getLogger("x").isWarnEnabled(), "the old level stays");
+            Files.writeString(file, "log {\nlevel debug\n}\n");
+            settings.reread().run();
+            assertTrue(LoggerFactory.getLogger("x").isDebugEnabled());
+        } finally {
+            nettlewick.log.LogSetup.apply(java.util.Optional.empty());
+        }
+    }
+
     @Test
     void theLedgersCommandsAnswerWithTablesJsonAndCodes(@TempDir Path dir) throws Exception {
         Path conf = Files.writeString(dir.resolve("c"), "ledger {\nstore \"" + dir.resolve("s")
