Waiting: jobs in a store that the ledger shares its ground with, and what recovery does

The ledger's store and the one of waiting jobs need the same SQLite ground: store.Database holds it now. WaitStore records accepted, released and ended, each before its effect; Afterlife decides after a crash: what was released and is fragile never goes again. Shown: ended 300 times at any commit, no fragile job handed in twice, none accepted and forgotten. Not wired in yet.

--- a/src/main/java/nettlewick/ledger/Ledger.java
+++ b/src/main/java/nettlewick/ledger/Ledger.java
@@ -17,6 +17,7 @@
 import nettlewick.core.Clock;
 import nettlewick.core.Request;
 import nettlewick.log.Part;
+import nettlewick.store.StoreException;
 
 /**
  * The books of a dispatcher that serves. The core and the event loop only put things into a queue; a thread
--- a/src/main/java/nettlewick/ledger/Store.java
+++ b/src/main/java/nettlewick/ledger/Store.java
@@ -3,11 +3,9 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.sql.Connection;
 import java.sql.PreparedStatement;
 import java.sql.ResultSet;
 import java.sql.SQLException;
-import java.sql.Statement;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
@@ -15,8 +13,9 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.function.Consumer;
-import org.sqlite.SQLiteConfig;
-import org.sqlite.SQLiteErrorCode;
+import nettlewick.store.Database;
+import nettlewick.store.Database.Work;
+import nettlewick.store.StoreException;
 
 /**
  * The entries on a disk: one SQLite file in WAL mode. Several processes may hold it, each with stores of its
@@ -26,7 +25,6 @@
 final class Store implements AutoCloseable {
     static final String FILE = "ledger.db";
     private static final int VERSION = 1;
-    private static final int BUSY_MILLIS = 5000;
     private static final String[] TABLES = {
         "CREATE TABLE IF NOT EXISTS meta(name TEXT PRIMARY KEY, value TEXT NOT NULL) WITHOUT ROWID",
         "CREATE TABLE IF NOT EXISTS origin(id INTEGER PRIMARY KEY, dispatcher TEXT NOT NULL, life INTEGER "
@@ -81,20 +79,16 @@
         }
     }
 
-    private interface Work<T> {
-        T run() throws SQLException, IOException;
-    }
-
     private final Path folder;
-    private final Connection connection;
+    private final Database database;
     private final Faults faults;
     private final Map<Origin, Integer> ids = new HashMap<>();
     private final Map<Origin, Head> heads = new HashMap<>();
     private String dispatcher;
 
-    private Store(Path folder, Connection connection, Faults faults) {
+    private Store(Path folder, Database database, Faults faults) {
         this.folder = folder;
-        this.connection = connection;
+        this.database = database;
         this.faults = faults;
     }
 
@@ -129,32 +123,13 @@
     }
 
     private static Store connect(Path folder, boolean readOnly, Faults faults) throws StoreException {
-        SQLiteConfig config = new SQLiteConfig();
-        config.setJournalMode(SQLiteConfig.JournalMode.WAL);
-        config.setSynchronous(SQLiteConfig.SynchronousMode.FULL);
-        config.setTransactionMode(SQLiteConfig.TransactionMode.IMMEDIATE);
-        config.setBusyTimeout(BUSY_MILLIS);
-        config.setReadOnly(readOnly);
-        try {
-            if (!readOnly) {
-                Files.createDirectories(folder);
-                faults.at("open");
-            }
-            return new Store(folder, config.createConnection("jdbc:sqlite:" + folder.resolve(FILE)), faults);
-        } catch (SQLException e) {
-            throw failed("opened", e);
-        } catch (IOException e) {
-            throw new StoreException("the folder of the ledger cannot be used: " + e, e, false);
-        }
+        return new Store(folder, Database.open(folder.resolve(FILE), readOnly, "the ledger", faults::at),
+                faults);
     }
 
     private void begin(String name) throws StoreException {
         change("opened", () -> {
-            try (Statement s = connection.createStatement()) {
-                for (String table : TABLES) {
-                    s.execute(table);
-                }
-            }
+            database.tables(TABLES);
             String version = value("SELECT value FROM meta WHERE name = 'version'");
             if (version == null) {
                 run("INSERT INTO meta VALUES('version', ?)", Integer.toString(VERSION));
@@ -184,65 +159,27 @@
         return folder;
     }
 
-    private static StoreException failed(String what, SQLException e) {
-        int code = e.getErrorCode() & 0xff;
-        boolean damaged = code == SQLiteErrorCode.SQLITE_CORRUPT.code
-                || code == SQLiteErrorCode.SQLITE_NOTADB.code;
-        return new StoreException("the ledger cannot be " + what + ": " + e.getMessage(), e, damaged);
-    }
-
     private <T> T change(String what, Work<T> work) throws StoreException {
-        try {
-            connection.setAutoCommit(false);
-            try {
-                T result = work.run();
-                faults.at("commit");
-                connection.commit();
-                faults.at("committed");
-                return result;
-            } catch (SQLException | IOException | RuntimeException | Error e) {
-                heads.clear();
-                ids.clear();
-                connection.rollback();
-                throw e;
-            } finally {
-                connection.setAutoCommit(true);
-            }
-        } catch (SQLException e) {
-            throw failed(what, e);
-        } catch (IOException e) {
-            throw new StoreException("the ledger cannot be " + what + ": " + e.getMessage(), e, false);
-        }
+        return database.change(what, () -> {
+            heads.clear();
+            ids.clear();
+        }, work);
     }
 
     private <T> T look(Work<T> work) throws StoreException {
-        try {
-            return work.run();
-        } catch (SQLException e) {
-            throw failed("read", e);
-        } catch (IOException | IllegalArgumentException e) {
-            throw new StoreException("the ledger cannot be read: " + e.getMessage(), e, true);
-        }
+        return database.look(work);
     }
 
     private PreparedStatement prepare(String sql, Object... values) throws SQLException {
-        PreparedStatement s = connection.prepareStatement(sql);
-        for (int i = 0; i < values.length; i++) {
-            s.setObject(i + 1, values[i]);
-        }
-        return s;
+        return database.prepare(sql, values);
     }
 
     private int run(String sql, Object... values) throws SQLException {
-        try (PreparedStatement s = prepare(sql, values)) {
-            return s.executeUpdate();
-        }
+        return database.run(sql, values);
     }
 
     private String value(String sql, Object... values) throws SQLException {
-        try (PreparedStatement s = prepare(sql, values); ResultSet r = s.executeQuery()) {
-            return r.next() ? r.getString(1) : null;
-        }
+        return database.value(sql, values);
     }
 
     private String meta(String name) throws StoreException {
@@ -342,7 +279,7 @@
         Head head = heads.get(own);
         head = head == null ? headOf(own) : head;
         int id = id(own, true);
-        try (PreparedStatement s = connection.prepareStatement("INSERT INTO entry VALUES(?, ?, ?, ?, ?, ?, "
+        try (PreparedStatement s = database.prepare("INSERT INTO entry VALUES(?, ?, ?, ?, ?, ?, "
                 + "?)")) {
             for (Entry draft : drafts) {
                 Entry entry = draft.at(new Ref(own, head.number() + 1));
@@ -378,7 +315,7 @@
                 return false;
             }
             int id = id(origin, true);
-            try (PreparedStatement s = connection.prepareStatement("INSERT INTO entry VALUES(?, ?, ?, ?, ?, "
+            try (PreparedStatement s = database.prepare("INSERT INTO entry VALUES(?, ?, ?, ?, ?, "
                     + "?, ?)")) {
                 for (Row row : rows) {
                     row(s, id, Entry.of(row.bytes()), row.bytes(), row.hash());
@@ -629,7 +566,7 @@
     void prune(String period, String file, String sum, List<Ref> refs) throws StoreException {
         change("written", () -> {
             run("INSERT OR REPLACE INTO archive VALUES(?, ?, ?, ?)", period, file, sum, refs.size());
-            try (PreparedStatement s = connection.prepareStatement("UPDATE entry SET bytes = NULL WHERE "
+            try (PreparedStatement s = database.prepare("UPDATE entry SET bytes = NULL WHERE "
                     + "origin = ? "
                     + "AND number = ?")) {
                 for (Ref ref : refs) {
@@ -791,10 +728,6 @@
 
     @Override
     public void close() {
-        try {
-            connection.close();
-        } catch (SQLException e) {
-            // Nothing is owed: what was committed is durable.
-        }
+        database.close();
     }
 }
--- /dev/null
+++ b/src/main/java/nettlewick/store/Database.java
@@ -0,0 +1,147 @@
+package nettlewick.store;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.sql.Connection;
+import java.sql.PreparedStatement;
+import java.sql.ResultSet;
+import java.sql.SQLException;
+import java.sql.Statement;
+import org.sqlite.SQLiteConfig;
+import org.sqlite.SQLiteErrorCode;
+
+/**
+ * One SQLite file in WAL mode. Several processes may hold it; one object belongs to one thread. What
+ * {@link #change} does is one transaction, and durable when it returns.
+ */
+public final class Database implements AutoCloseable {
+    private static final int BUSY_MILLIS = 5000;
+
+    /** Something done to the file. */
+    public interface Work<T> {
+        T run() throws SQLException, IOException;
+    }
+
+    /** Places at which tests let the disk fail: {@code open}, {@code commit}, {@code committed}. */
+    public interface Point {
+        void at(String name) throws IOException;
+    }
+
+    private final String what;
+    private final Connection connection;
+    private final Point point;
+
+    private Database(String what, Connection connection, Point point) {
+        this.what = what;
+        this.connection = connection;
+        this.point = point;
+    }
+
+    /**
+     * Opens a file, and makes it where there is none unless it is only read.
+     *
+     * @param what what it is called in messages, such as "the ledger"
+     */
+    public static Database open(Path file, boolean readOnly, String what, Point point) throws StoreException {
+        SQLiteConfig config = new SQLiteConfig();
+        config.setJournalMode(SQLiteConfig.JournalMode.WAL);
+        config.setSynchronous(SQLiteConfig.SynchronousMode.FULL);
+        config.setTransactionMode(SQLiteConfig.TransactionMode.IMMEDIATE);
+        config.setBusyTimeout(BUSY_MILLIS);
+        config.setReadOnly(readOnly);
+        try {
+            if (!readOnly) {
+                Files.createDirectories(file.toAbsolutePath().getParent());
+                point.at("open");
+            }
+            return new Database(what, config.createConnection("jdbc:sqlite:" + file), point);
+        } catch (SQLException e) {
+            throw failed(what, "opened", e);
+        } catch (IOException e) {
+            throw new StoreException("the folder of " + what + " cannot be used: " + e, e, false);
+        }
+    }
+
+    private static StoreException failed(String what, String done, SQLException e) {
+        int code = e.getErrorCode() & 0xff;
+        boolean damaged = code == SQLiteErrorCode.SQLITE_CORRUPT.code
+                || code == SQLiteErrorCode.SQLITE_NOTADB.code;
+        return new StoreException(what + " cannot be " + done + ": " + e.getMessage(), e, damaged);
+    }
+
+    /** Runs work as one transaction; {@code undo} is for what the caller remembers, where it fails. */
+    public <T> T change(String done, Runnable undo, Work<T> work) throws StoreException {
+        try {
+            connection.setAutoCommit(false);
+            try {
+                T result = work.run();
+                point.at("commit");
+                connection.commit();
+                point.at("committed");
+                return result;
+            } catch (SQLException | IOException | RuntimeException | Error e) {
+                undo.run();
+                connection.rollback();
+                throw e;
+            } finally {
+                connection.setAutoCommit(true);
+            }
+        } catch (SQLException e) {
+            throw failed(what, done, e);
+        } catch (IOException e) {
+            throw new StoreException(what + " cannot be " + done + ": " + e.getMessage(), e, false);
+        }
+    }
+
+    /** Reads; what cannot be understood counts as damage. */
+    public <T> T look(Work<T> work) throws StoreException {
+        try {
+            return work.run();
+        } catch (SQLException e) {
+            throw failed(what, "read", e);
+        } catch (IOException | IllegalArgumentException e) {
+            throw new StoreException(what + " cannot be read: " + e.getMessage(), e, true);
+        }
+    }
+
+    /** Makes tables that are not there. */
+    public void tables(String... statements) throws SQLException {
+        try (Statement s = connection.createStatement()) {
+            for (String table : statements) {
+                s.execute(table);
+            }
+        }
+    }
+
+    public PreparedStatement prepare(String sql, Object... values) throws SQLException {
+        PreparedStatement s = connection.prepareStatement(sql);
+        for (int i = 0; i < values.length; i++) {
+            s.setObject(i + 1, values[i]);
+        }
+        return s;
+    }
+
+    /** Runs one statement; how many rows it changed. */
+    public int run(String sql, Object... values) throws SQLException {
+        try (PreparedStatement s = prepare(sql, values)) {
+            return s.executeUpdate();
+        }
+    }
+
+    /** The first value of the first row, or null. */
+    public String value(String sql, Object... values) throws SQLException {
+        try (PreparedStatement s = prepare(sql, values); ResultSet r = s.executeQuery()) {
+            return r.next() ? r.getString(1) : null;
+        }
+    }
+
+    @Override
+    public void close() {
+        try {
+            connection.close();
+        } catch (SQLException e) {
+            // Nothing is owed: what was committed is durable.
+        }
+    }
+}
--- a/src/main/java/nettlewick/ledger/StoreException.java
+++ b/src/main/java/nettlewick/store/StoreException.java
@@ -1,17 +1,17 @@
-package nettlewick.ledger;
+package nettlewick.store;
 
 /** The store cannot do what was asked, in one line. */
 public final class StoreException extends Exception {
     private static final long serialVersionUID = 1;
     private final boolean damaged;
 
-    StoreException(String message, Throwable cause, boolean damaged) {
+    public StoreException(String message, Throwable cause, boolean damaged) {
         super(message, cause);
         this.damaged = damaged;
     }
 
     /** Whether the file itself is no longer a store. */
-    boolean damaged() {
+    public boolean damaged() {
         return damaged;
     }
 }
--- a/src/test/java/nettlewick/ledger/ExportTest.java
+++ b/src/test/java/nettlewick/ledger/ExportTest.java
@@ -22,6 +22,7 @@
 import java.util.stream.Stream;
 import nettlewick.core.Books.Ending;
 import nettlewick.standins.Receiver;
+import nettlewick.store.StoreException;
 import org.apache.commons.csv.CSVFormat;
 import org.apache.commons.csv.CSVParser;
 import org.apache.commons.csv.CSVRecord;
--- a/src/test/java/nettlewick/ledger/LedgerTest.java
+++ b/src/test/java/nettlewick/ledger/LedgerTest.java
@@ -24,6 +24,7 @@
 import nettlewick.core.Clock;
 import nettlewick.core.Request;
 import nettlewick.ledger.Entry.Kind;
+import nettlewick.store.StoreException;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
--- a/src/test/java/nettlewick/ledger/ReconcileTest.java
+++ b/src/test/java/nettlewick/ledger/ReconcileTest.java
@@ -25,6 +25,7 @@
 import java.util.TreeMap;
 import nettlewick.core.Clock;
 import nettlewick.standins.StandIns;
+import nettlewick.store.StoreException;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
--- a/src/test/java/nettlewick/ledger/StoreTest.java
+++ b/src/test/java/nettlewick/ledger/StoreTest.java
@@ -17,6 +17,7 @@
 import java.util.Random;
 import nettlewick.core.Books.Ending;
 import nettlewick.ledger.Entry.Kind;
+import nettlewick.store.StoreException;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
--- /dev/null
+++ b/src/test/java/nettlewick/waiting/AfterlifeTest.java
@@ -0,0 +1,140 @@
+package nettlewick.waiting;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import nettlewick.decision.Dispatcher.Repeat;
+import nettlewick.store.StoreException;
+import nettlewick.waiting.Afterlife.State;
+import nettlewick.waiting.Afterlife.What;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Jobs that outlive their process: what is handed in again, and what never is. */
+class AfterlifeTest {
+    /** The process ends here. */
+    private static final class Crash extends RuntimeException {
+        private static final long serialVersionUID = 1;
+    }
+
+    private static final double WINDOW = 15_000;
+
+    @TempDir
+    private Path dir;
+
+    private static What after(State state, Repeat repeat, double since, boolean site, int attempts,
+            double left) {
+        return Afterlife.decide(state, repeat, since, WINDOW, site, attempts, 6, left).what();
+    }
+
+    @Test
+    void eachClassKeepsItsRule() {
+        for (Repeat repeat : Repeat.values()) {
+            assertEquals(What.WAIT, after(State.WAITING, repeat, 0, false, 0, 100));
+            assertEquals(What.NOTHING, after(State.ENDED, repeat, 0, true, 1, 100));
+        }
+        assertEquals(What.FAIL, after(State.RELEASED, Repeat.FRAGILE, 0, true, 1, 100));
+        assertEquals(What.RELEASE, after(State.RELEASED, Repeat.DEDUP, WINDOW - 1, true, 1, 100));
+        assertEquals(What.FAIL, after(State.RELEASED, Repeat.DEDUP, WINDOW, true, 1, 100));
+        assertEquals(What.FAIL, after(State.RELEASED, Repeat.DEDUP, -1, true, 1, 100), "the clock went back");
+        assertEquals(What.FAIL, after(State.RELEASED, Repeat.DEDUP, 1, false, 1, 100),
+                "its site is not known");
+        assertEquals(What.RELEASE, after(State.RELEASED, Repeat.RETRYABLE, 1e9, false, 5, 100));
+        assertEquals(What.FAIL, after(State.RELEASED, Repeat.RETRYABLE, 1, false, 6, 100));
+        assertEquals(What.FAIL, after(State.RELEASED, Repeat.RETRYABLE, 1, false, 1, 0));
+    }
+
+    private static WaitStore.Job job(String id, String jobClass) {
+        return new WaitStore.Job(new Plan.Ask(id, "m", "n" + id, List.of("x"), 0, 1e12, Plan.OnFailure.SKIP,
+                9),
+                jobClass, 1, 4000, "POST", "/api", "{\"é\":1}", null, 1, 0, 20);
+    }
+
+    /**
+     * Ended 300 times at any commit: no fragile job is handed in twice, no accepted one is without an end.
+     */
+    @Test
+    void aProcessThatIsEndedAnywhereHandsNoMarkInTwiceAndForgetsNothing() throws Exception {
+        Random random = new Random(300);
+        Set<String> accepted = new HashSet<>();
+        Map<String, Integer> handed = new HashMap<>();
+        Set<String> ended = new HashSet<>();
+        int crashes = 0;
+        int number = 0;
+        double now = 1_000_000;
+        while (crashes < 300) {
+            int[] left = {4 + random.nextInt(12)};
+            try (WaitStore store = WaitStore.open(dir, name -> {
+                if (left[0]-- == 0) {
+                    throw new Crash();
+                }
+            })) {
+                for (WaitStore.Stored s : store.load()) {
+                    String id = s.job().ask().id();
+                    Repeat repeat = s.job().jobClass().equals("mark") ? Repeat.FRAGILE : Repeat.RETRYABLE;
+                    What what = Afterlife.decide(s.state(), repeat, now - s.changed(), WINDOW, false,
+                            s.attempts(), 6,
+                            1).what();
+                    if (what == What.FAIL) {
+                        store.end(List.of(new WaitStore.Ended(id, "failed", "it may have run", 1)), now);
+                        ended.add(id);
+                    } else if (what == What.RELEASE || what == What.WAIT && random.nextBoolean()) {
+                        store.release(List.of(id), now);
+                        handed.merge(id, 1, Integer::sum);
+                        if (random.nextBoolean()) {
+                            store.end(List.of(new WaitStore.Ended(id, "result", null, 2)), now);
+                            ended.add(id);
+                        }
+                    }
+                }
+                for (int i = 0; i < 3; i++) {
+                    String id = "j" + number++;
+                    store.accept(List.of(job(id, random.nextBoolean() ? "mark" : "view")), now);
+                    accepted.add(id);
+                }
+            } catch (Crash e) {
+                crashes++;
+            }
+            now += 100;
+        }
+        try (WaitStore store = WaitStore.open(dir, name -> { })) {
+            Map<String, WaitStore.Stored> all = new HashMap<>();
+            store.load().forEach(s -> all.put(s.job().ask().id(), s));
+            assertTrue(all.keySet().containsAll(accepted), "accepted and forgotten");
+            for (WaitStore.Stored s : all.values()) {
+                String id = s.job().ask().id();
+                int times = handed.getOrDefault(id, 0);
+                assertTrue(times <= (s.job().jobClass().equals("mark") ? 1 : 6), id + " was handed in "
+                        + times);
+                assertTrue(s.state() != State.WAITING || times == 0, "handed in and not recorded: " + id);
+                assertTrue(!ended.contains(id) || s.state() == State.ENDED);
+                assertEquals(job(id, s.job().jobClass()), s.job());
+            }
+            assertTrue(ended.size() > 100 && store.forget(now) >= ended.size());
+        }
+    }
+
+    @Test
+    void theFirstEndStaysAndWhatWasTurnedAwayWaitsAgain() throws StoreException {
+        try (WaitStore store = WaitStore.open(dir, name -> { })) {
+            store.accept(List.of(job("a", "view"), job("b", "mark")), 1);
+            store.release(List.of("a", "b"), 2);
+            store.back("b", 3);
+            store.end(List.of(new WaitStore.Ended("a", "result", null, 4)), 4);
+            store.end(List.of(new WaitStore.Ended("a", "failed", "late", 5)), 5);
+            store.release(List.of("a"), 6);
+            List<WaitStore.Stored> all = store.load();
+            assertEquals(List.of(State.WAITING, State.ENDED), all.stream().map(WaitStore.Stored::state)
+                    .toList());
+            assertEquals("result", all.get(1).fate());
+            assertEquals(1, all.get(0).attempts());
+        }
+    }
+}
