A close over thousands of lives can be written; unforced answers are counted

A close's vector went through writeUTF, which ends at 64 KiB: beyond some 2,000 origins no term could be closed any more. Answers let go in sync mode after a failed force were not counted in ledger.unsynced. The comment of Ledger told of the former spool. WaitStore had one loop three times. Tests: a close over 5,000 origins reads back; 100 answers without a spool are 100 unsynced.

--- a/src/main/java/nettlewick/core/Books.java
+++ b/src/main/java/nettlewick/core/Books.java
@@ -55,8 +55,7 @@
     /**
      * The one final answer of a job is decided. Called on the core's thread, must not block; no exceptions.
      *
-     * @param send lets the answer go; called exactly once, on any thread, now or as soon as the books allow
-     * it.
+     * @param send lets the answer go; called exactly once, on any thread, now or once the books allow it.
      *             Nobody is told of a job whose client has left: there the receipt means nothing
      * @return lets an answer go that still waits, harmless to call later; null where it has gone
      */
--- a/src/main/java/nettlewick/ledger/Entry.java
+++ b/src/main/java/nettlewick/ledger/Entry.java
@@ -6,6 +6,7 @@
 import java.io.DataOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
 import java.util.HexFormat;
@@ -133,7 +134,12 @@
             out.writeLong(job);
             optional(out, target == null ? null : target.toString());
             optional(out, by);
-            optional(out, text);
+            // Danger: writeUTF ends at 64 KiB, which the vector of a close passes with some thousand origins.
+            byte[] said = text == null ? null : text.getBytes(StandardCharsets.UTF_8);
+            out.writeInt(said == null ? -1 : said.length);
+            if (said != null) {
+                out.write(said);
+            }
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
@@ -147,6 +153,14 @@
         }
     }
 
+    private static String text(DataInputStream in) throws IOException {
+        int length = in.readInt();
+        if (length < -1 || length > in.available()) {
+            throw new IllegalArgumentException("a text of " + length + " bytes");
+        }
+        return length < 0 ? null : new String(in.readNBytes(length), StandardCharsets.UTF_8);
+    }
+
     private static String optional(DataInputStream in) throws IOException {
         return in.readBoolean() ? in.readUTF() : null;
     }
@@ -162,7 +176,7 @@
             Entry entry = new Entry(ref, kind, in.readDouble(), in.readUTF(), in.readUTF(), in.readUTF(),
                     optional(in), Ending.values()[in.readByte()], in.readLong(), in.readBoolean(),
                             in.readLong(),
-                    in.readInt(), in.readLong(), target(optional(in)), optional(in), optional(in));
+                    in.readInt(), in.readLong(), target(optional(in)), optional(in), text(in));
             if (in.read() >= 0) {
                 throw new IllegalArgumentException("bytes after an entry");
             }
@@ -196,7 +210,7 @@
 
     /** The hash under which a key is kept: 16 bytes of SHA-256, in hexadecimal. */
     static String hash(String key) {
-        byte[] all = DIGEST.get().digest(key.getBytes(java.nio.charset.StandardCharsets.UTF_8));
+        byte[] all = DIGEST.get().digest(key.getBytes(StandardCharsets.UTF_8));
         return HexFormat.of().formatHex(all, 0, 16);
     }
 
--- a/src/main/java/nettlewick/ledger/Ledger.java
+++ b/src/main/java/nettlewick/ledger/Ledger.java
@@ -20,9 +20,11 @@
 import nettlewick.store.StoreException;
 
 /**
- * The books of a dispatcher that serves. The core and the event loop only put things into a queue; a thread
- * writes intents to the spool and lets answers go, another enters ended jobs in the store. Whatever the disk
- * does, answers leave, and what cannot be entered is counted.
+ * The books of a dispatcher that serves. The core notes an intent, the event loop an end, both by a copy into
+ * the
+ * spool's memory; one thread forces the spool and lets answers go that wait for that, another enters ended
+ * jobs
+ * in the store. Whatever the disk does, answers leave, and what cannot be entered is counted.
  */
 public final class Ledger implements Books, AutoCloseable {
     private static final Part LOG = Part.of("ledger");
@@ -243,15 +245,20 @@
                     group.add(first);
                     waiting.drainTo(group, GROUP_MOST);
                 }
+                boolean forced = false;
                 if (pace() >= again) {
                     try {
                         keep();
+                        forced = true;
                     } catch (IOException | RuntimeException e) {
                         again = pace() + AGAIN;
                         trouble("spool-failed", "the spool cannot be written, and answers do not wait for "
                                 + "it: " + e);
                     }
                 }
+                if (!forced) {
+                    overdue.addAndGet(group.stream().filter(i -> !i.gone.get()).count());
+                }
                 group.forEach(this::release);
             }
             Spool last = spool;
--- a/src/main/java/nettlewick/waiting/WaitStore.java
+++ b/src/main/java/nettlewick/waiting/WaitStore.java
@@ -69,15 +69,16 @@
         });
     }
 
-    /** From now on these jobs outlive the process; an id that is there already is a fault of the caller. */
-    void accept(List<Job> jobs, double now) throws StoreException {
+    private interface Row<T> {
+        void fill(PreparedStatement s, T item) throws java.sql.SQLException;
+    }
+
+    /** One statement for each item, all in one transaction. */
+    private <T> void each(String sql, List<T> items, Row<T> row) throws StoreException {
         change(() -> {
-            try (PreparedStatement s = database.prepare("INSERT INTO job VALUES(?, 0, ?, ?, NULL, 0, 0, "
-                    + "NULL, NULL)")) {
-                for (Job job : jobs) {
-                    s.setString(1, job.ask().id());
-                    s.setString(2, gson.toJson(job));
-                    s.setDouble(3, now);
+            try (PreparedStatement s = database.prepare(sql)) {
+                for (T item : items) {
+                    row.fill(s, item);
                     s.addBatch();
                 }
                 s.executeBatch();
@@ -85,23 +86,22 @@
         });
     }
 
-    /**
-     * These are about to be handed in. Danger: recorded after that, a crash would hand a mark-submit in
-     * twice.
-     */
+    /** From now on these jobs outlive the process; an id that is there already is a fault of the caller. */
+    void accept(List<Job> jobs, double now) throws StoreException {
+        each("INSERT INTO job VALUES(?, 0, ?, ?, NULL, 0, 0, NULL, NULL)", jobs, (s, job) -> {
+            s.setString(1, job.ask().id());
+            s.setString(2, gson.toJson(job));
+            s.setDouble(3, now);
+        });
+    }
+
+    /** These are about to be handed in. Danger: recorded later, a crash would hand a mark-submit in twice. */
     void release(List<String> ids, double now) throws StoreException {
-        change(() -> {
-            try (PreparedStatement s = database.prepare("UPDATE job SET state = 1, changed = ?, attempts = "
-                    + "attempts + 1 "
-                    + "WHERE id = ? AND state < 2")) {
-                for (String id : ids) {
+        each("UPDATE job SET state = 1, changed = ?, attempts = attempts + 1 WHERE id = ? AND state < 2", ids,
+                (s, id) -> {
                     s.setDouble(1, now);
                     s.setString(2, id);
-                    s.addBatch();
-                }
-                s.executeBatch();
-            }
-        });
+                });
     }
 
     /** The module has turned a job away, which proves that it never ran: it waits again. */
@@ -112,21 +112,15 @@
 
     /** These have their ends; the first end of a job stays. */
     void end(List<Ended> ends, double now) throws StoreException {
-        change(() -> {
-            try (PreparedStatement s = database.prepare("UPDATE job SET state = 2, changed = ?, fate = ?, "
-                    + "cause = ?, "
-                    + "event = ? WHERE id = ? AND state < 2")) {
-                for (Ended end : ends) {
+        each("UPDATE job SET state = 2, changed = ?, fate = ?, cause = ?, event = ? WHERE id = ? AND state "
+                + "< 2",
+                ends, (s, end) -> {
                     s.setDouble(1, now);
                     s.setString(2, end.fate());
                     s.setString(3, end.cause());
                     s.setLong(4, end.event());
                     s.setString(5, end.id());
-                    s.addBatch();
-                }
-                s.executeBatch();
-            }
-        });
+                });
     }
 
     /** Forgets jobs that ended before then. */
--- a/src/test/java/nettlewick/ledger/LedgerTest.java
+++ b/src/test/java/nettlewick/ledger/LedgerTest.java
@@ -182,6 +182,7 @@
             answer(ledger, "j" + i, left);
         }
         until(() -> left.size() == 100 && has(ledger, "entries", 100));
+        assertTrue(has(ledger, "unsynced", 100), "each left without being on the disk: " + ledger.figures());
         bad.set(false);
         answer(ledger, "last", left);
         until(() -> has(ledger, "entries", 101));
--- a/src/test/java/nettlewick/ledger/StoreTest.java
+++ b/src/test/java/nettlewick/ledger/StoreTest.java
@@ -69,6 +69,21 @@
         assertThrows(StoreException.class, () -> Store.open(dir, "b", Faults.NONE));
     }
 
+    /** Guards against a close that cannot be written any more once there have been thousands of lives. */
+    @Test
+    void aCloseOverThousandsOfOriginsReadsBack() throws Exception {
+        java.util.Map<Origin, Long> vector = new java.util.TreeMap<>();
+        for (int i = 0; i < 5000; i++) {
+            vector.put(new Origin("college-nord-" + i % 300, 1_796_134_423L + i), (long) i + 1);
+        }
+        try (Store store = open()) {
+            Origin own = store.begin(NOW);
+            Entry close = Entry.close(new Ref(own, 0), NOW, TERMS.at(NOW), vector, "op");
+            store.append(own, List.of(close));
+            assertEquals(vector, store.entry(new Ref(own, 1)).close().vector());
+        }
+    }
+
     @Test
     void tamperingIsToldWithItsPlace() throws Exception {
         Origin own;
