--- a/src/main/java/nettlewick/decision/Logic.java
+++ b/src/main/java/nettlewick/decision/Logic.java
@@ -31,6 +31,8 @@
     private static final int POOL_LEAST = 8;
     private static final double POOL_PARTS = 1.5;
     private static final int POOL_MOST = 24;
+    /** And so many times the workers that its own traffic keeps busy. */
+    private static final double POOL_BUSY = 2.5;
     /** Probes for each arrival. */
     private static final double PROBES_PER_ARRIVAL = 3;
     /** A friend asks after this many silent Δ and inherits after twice as many. */
@@ -137,8 +139,12 @@
             // Danger: work sent to a worker that drains. It leaves every pool at once, with no grace used.
             w.ready = entry.life() == Life.READY;
         }
-        pools.forEach(this::fill);
+        fill();
         loads.list(workers.values().stream().filter(w -> roll.tellsReady(w.id)).toList());
+    }
+
+    private void fill() {
+        pools.forEach(this::fill);
         watched = pools.stream().flatMap(pool -> pool.members.stream()).distinct().toList();
     }
 
@@ -157,7 +163,10 @@
     private void fill(Pool pool) {
         pool.refill(workers.values(), RING_PLACES);
         double part = (double) pool.near.size() * pool.zones / settings.fleetSize();
-        int size = (int) Math.min(POOL_MOST, Math.max(POOL_LEAST, Math.ceil(POOL_PARTS * part)));
+        // Danger: a busy dispatcher fills a pool made for a mean one by itself, while half the fleet is idle.
+        double own = POOL_BUSY * triedRate / Math.max(1, pool.slots);
+        double wanted = Math.max(POOL_LEAST, Math.max(own, POOL_PARTS * part));
+        int size = (int) Math.ceil(Math.min(POOL_MOST, wanted));
         pool.members = new ArrayList<>();
         stretch(pool.near, size, pool.members);
         // Danger: a small zone leaves the pool small, and machines that nobody watches idle through a jam.
@@ -714,6 +723,7 @@
             deltaAt = Math.max(deltaAt + DELTA, now + DELTA / 2);
             measureCarry();
             share();
+            fill();
         }
         probe();
         resend();
--- /dev/null
+++ b/src/test/java/nettlewick/decision/SmallFleet.java
@@ -0,0 +1,178 @@
+package nettlewick.decision;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
+import nettlewick.decision.Dispatcher.*;
+
+/**
+ * Many module instances before one fleet of workers of two slots, in virtual time, by a script and a seed. It is no
+ * model of a site: nothing fails by itself, all workers are alike, and reports are as old as they may be.
+ */
+final class SmallFleet {
+    static final int SLOTS = 2;
+    private static final String[] ZONES = {"north", "south", "east", "west"};
+    private static final long HOP = 4 * Samples.MS;
+    private static final long REPORT = 500 * Samples.MS;
+
+    /** A worker: what runs, what waits, and the load it last reported. */
+    final class Runner {
+        final WorkerEntry entry;
+        final Deque<Runnable> waiting = new ArrayDeque<>();
+        int running;
+        int jobs;
+        int probes;
+        private Load report;
+        private long reportAt = State.NEVER;
+
+        Runner(WorkerEntry entry) {
+            this.entry = entry;
+        }
+
+        Load load() {
+            if (now - reportAt >= REPORT) {
+                reportAt = now;
+                report = new Load(SLOTS - running, Double.NaN, waiting.size(), running + waiting.size(), Double.NaN);
+            }
+            return report;
+        }
+
+        void take(long work, Runnable begun, Runnable done) {
+            jobs++;
+            Runnable start = () -> {
+                running++;
+                begun.run();
+                at(now + work, () -> {
+                    running--;
+                    done.run();
+                    if (!waiting.isEmpty()) {
+                        waiting.poll().run();
+                    }
+                });
+            };
+            if (running < SLOTS) {
+                start.run();
+            } else {
+                toFull++;
+                waiting.add(start);
+            }
+        }
+    }
+
+    private record Due(long at, long number, Runnable task) {
+    }
+
+    final Map<String, Runner> runners = new LinkedHashMap<>();
+    final List<Logic> instances = new ArrayList<>();
+    final Map<String, Long> work = new HashMap<>();
+    private final Map<String, Integer> attempts = new HashMap<>();
+    private final Map<Integer, Boolean> dead = new HashMap<>();
+    private final PriorityQueue<Due> queue = new PriorityQueue<>((a, b) -> a.at() != b.at()
+            ? Long.compare(a.at(), b.at()) : Long.compare(a.number(), b.number()));
+    private final SplittableRandom random;
+    private long numbers;
+    long now = 1;
+    /** Part of all datagrams that is lost. */
+    double loss;
+    int sent, toFull, refused, served, probes;
+    long datagrams, bytes, longest;
+
+    SmallFleet(int dispatchers, int workers, long seed) {
+        random = new SplittableRandom(seed);
+        for (int i = 0; i < workers; i++) {
+            put(new WorkerEntry("w" + i, Life.READY, 0, i / 2, "box", ZONES[i % ZONES.length], 1));
+        }
+        for (int rank = 0; rank < dispatchers; rank++) {
+            Settings s = Samples.settings(rank, dispatchers, true);
+            instances.add(new Logic(new Settings(rank, dispatchers, ZONES[rank % ZONES.length], s.classes(), s.tenants(),
+                    s.kinds(), s.listOnRequest(), s.sizesFixed(), s.reports(), s.progress(), s.limits(), s.rules()),
+                    seed + rank));
+        }
+        tellList();
+    }
+
+    void put(WorkerEntry entry) {
+        runners.put(entry.worker(), new Runner(entry));
+    }
+
+    /** Every living instance is told the whole list. */
+    void tellList() {
+        for (int rank = 0; rank < instances.size(); rank++) {
+            handle(rank, new WorkerList(true, runners.values().stream().map(r -> r.entry).toList()));
+        }
+    }
+
+    /** From now on this instance hears and does nothing. */
+    void kill(int rank) {
+        dead.put(rank, true);
+    }
+
+    void at(long time, Runnable task) {
+        queue.add(new Due(time, numbers++, task));
+    }
+
+    void run(long until) {
+        while (!queue.isEmpty() && queue.peek().at() <= until) {
+            Due due = queue.poll();
+            now = due.at();
+            due.task().run();
+        }
+        now = until;
+    }
+
+    /** Jobs of that work arrive at this instance at that rate, evenly but for a little chance. */
+    void traffic(int rank, double perSecond, long each, long from, long until) {
+        long time = from;
+        while (time < until) {
+            time += (long) (Samples.SECOND / perSecond * (0.5 + random.nextDouble()));
+            String id = "j" + rank + "-" + numbers;
+            work.put(id, each);
+            at(time, () -> handle(rank, new Arrival(id, "read", "red", 5 * Samples.SECOND, 1, 0, each, null, false)));
+        }
+    }
+
+    void handle(int rank, Event event) {
+        if (!dead.containsKey(rank)) {
+            instances.get(rank).handle(now, List.of(event)).forEach(action -> carryOut(rank, action));
+        }
+    }
+
+    private void carryOut(int rank, Action action) {
+        if (action instanceof Dispatch d) {
+            int number = attempts.merge(d.id(), 1, Integer::sum) - 1;
+            long sentAt = now;
+            sent++;
+            at(now + HOP, () -> runners.get(d.worker()).take(work.get(d.id()),
+                    () -> later(rank, new Progress(d.id(), number, d.worker(), 0)), () -> {
+                        served++;
+                        later(rank, new Outcome(d.id(), number, d.worker(), Result.SERVED, now + HOP - sentAt, true, null));
+                    }));
+        } else if (action instanceof Probe p) {
+            probes++;
+            runners.get(p.worker()).probes++;
+            at(now + HOP, () -> later(rank, new ProbeAnswer(p.worker(), Result.SERVED, 2 * HOP,
+                    runners.get(p.worker()).load())));
+        } else if (action instanceof TellPeer t) {
+            datagrams++;
+            bytes += t.data().length;
+            longest = Math.max(longest, t.data().length);
+            if (random.nextDouble() >= loss) {
+                at(now + HOP, () -> handle(t.rank(), new PeerMessage(rank, t.data())));
+            }
+        } else if (action instanceof SetTimer t) {
+            at(now + t.delay(), () -> handle(rank, new Timer(t.name())));
+        } else if (action instanceof Refuse) {
+            refused++;
+        }
+    }
+
+    private void later(int rank, Event event) {
+        at(now + HOP, () -> handle(rank, event));
+    }
+}
