--- a/src/main/java/nettlewick/decision/Logic.java
+++ b/src/main/java/nettlewick/decision/Logic.java
@@ -37,6 +37,8 @@
     private static final double PROBES_PER_ARRIVAL = 3;
     /** A friend asks after this many silent Δ and inherits after twice as many. */
     private static final int FRIEND_PATIENCE = 3;
+    /** Slots by which a report's noise may be taken for work. */
+    private static final double NOISE = 0.3;
     /** Workers on the hash ring that a key's jobs are kept to while one of them has room. */
     private static final int HOMES = 2;
     private static final int RING_PLACES = 20;
@@ -83,7 +85,7 @@
         coldStart = new ColdStart(settings.rules(), settings.fleetSize());
         random = new SplittableRandom(seed);
         epoch = random.nextInt();
-        loads = new SharedLoads(settings.fleetSize() - 1);
+        loads = new SharedLoads();
         pace = new Mean[settings.classes().size()];
         bound = new double[settings.kinds().size() + 1];
         for (int i = 0; i < pace.length; i++) {
@@ -685,7 +687,8 @@
     private void report(Worker w, Load load) {
         w.report(load, now, pools.get(w.kind + 1));
         double left = w.free - w.waiting + w.outAt(beats - (int) (REPORT_LAG / BEAT));
-        // Danger: own jobs that an old report does not show yet would be taken for room that others leave.
+        // Danger: a report is as old as a job is long. What it says is told apart into what was known to be
+        // in work then, which is known better now, and what only it can tell: a queue, or work nobody awaits.
         left = Math.min(left, Math.max(1, pools.get(w.kind + 1).slots));
         w.left = now - w.leftAt > DELTA ? left : w.left + (left - w.left) / 2;
         w.leftAt = now;
@@ -716,6 +719,7 @@
         }
         owed.removeIf(job -> job.over);
         beats++;
+        loads.expire(now);
         workers.values().forEach(w -> w.tick(beats));
         watch();
         bind();
@@ -799,8 +803,9 @@
     private final Map<Integer, Peer> peers = new LinkedHashMap<>();
     private int reach = 2;
 
+    /** Slots that others leave: what a smoothed report leaves to all, less what peers hold by their notes. */
     private double left(Worker w) {
-        return loads.left(w, pools.get(w.kind + 1).slots, now);
+        return w.left - w.others + NOISE;
     }
 
     /** For tests: the slice, and what was debited from it, or inherited, and is not settled yet. */
--- a/src/main/java/nettlewick/decision/SharedLoads.java
+++ b/src/main/java/nettlewick/decision/SharedLoads.java
@@ -16,16 +16,11 @@
     private record Told(Map<Worker, Integer> slots, long at) {
     }
 
-    private final int peers;
     private final Map<Integer, Told> told = new HashMap<>();
     private List<Worker> byName = List.of();
     private byte[] last = new byte[0];
     private long lastAt = State.NEVER;
 
-    SharedLoads(int peers) {
-        this.peers = peers;
-    }
-
     void list(Collection<Worker> ready) {
         byName = ready.stream().sorted(Comparator.comparing(w -> w.id)).toList();
     }
@@ -37,7 +32,8 @@
         }
         Map<Worker, Integer> slots = LoadNote.of(data, byName);
         if (slots != null) {
-            told.put(rank, new Told(slots, now));
+            forget(told.put(rank, new Told(slots, now)));
+            slots.forEach((w, held) -> w.others += held);
         }
         return true;
     }
@@ -53,19 +49,20 @@
         return note;
     }
 
-    /**
-     * Slots that others leave of so many: halfway between what reports say, which are old, and what the peers
-     * tell. Danger: by the notes alone a slowed worker, or one with work that nobody awaits, looks free.
-     */
-    double left(Worker w, double slots, long now) {
-        double free = Math.rint(slots);
-        int heard = 0;
-        for (Told t : told.values()) {
-            if (now - t.at() <= BELIEVED) {
-                free -= t.slots().getOrDefault(w, 0);
-                heard++;
+    /** Leaves out what peers said that have been silent since. */
+    void expire(long now) {
+        told.values().removeIf(t -> {
+            boolean old = now - t.at() > BELIEVED;
+            if (old) {
+                forget(t);
             }
+            return old;
+        });
+    }
+
+    private static void forget(Told old) {
+        if (old != null) {
+            old.slots().forEach((w, held) -> w.others -= held);
         }
-        return slots < 1 || heard < peers ? w.left : (free + w.left) / 2;
     }
 }
--- a/src/main/java/nettlewick/decision/State.java
+++ b/src/main/java/nettlewick/decision/State.java
@@ -28,14 +28,16 @@
         double free;
         double waiting;
         double memory;
-        /** Slots that other dispatchers leave, smoothed over reports. */
+        /** Slots that are left but for what is known to be sent here, smoothed over reports. */
         double left;
         long leftAt = NEVER;
         long fullAt = NEVER;
         boolean asked;
         final List<Attempt> out = new ArrayList<>();
         double outSlots;
-        /** Own slots in work at the last beats, each at its beat's number modulo the length. */
+        /** Slots that peers hold here, by their last notes. */
+        double others;
+        /** Slots known to be in work at the last beats, each at its beat's number modulo the length. */
         private final double[] outBefore = new double[16];
         long signAt = NEVER;
         int strikes;
@@ -100,9 +102,9 @@
             a.lost = true;
         }
 
-        /** Remembers the own slots in work at this beat. */
+        /** Remembers the slots known to be in work at this beat. */
         void tick(int beat) {
-            outBefore[beat % outBefore.length] = outSlots;
+            outBefore[beat % outBefore.length] = outSlots + others;
         }
 
         double outAt(int beat) {
