--- a/src/main/java/nettlewick/decision/LoadNote.java
+++ b/src/main/java/nettlewick/decision/LoadNote.java
@@ -1,40 +1,79 @@
 package nettlewick.decision;
 
 import java.nio.ByteBuffer;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import nettlewick.decision.State.Worker;
 
 /**
  * What a dispatcher tells the others of its own slots in work at each worker: exact, and as old as a
- * datagram, where a report is a second old. A worker goes by its place among the ready ones, by name.
+ * datagram, where a report is a second old. A worker goes by sixteen bits of its id's hash. Danger: by its
+ * place in a list, a note would mean other workers at one that was told of a release sooner or later.
  */
 final class LoadNote {
     private static final byte MAGIC = (byte) 0xD3;
-    private static final byte VERSION = 1;
+    private static final byte VERSION = 2;
     private static final int HEAD = 3;
-    private static final int ENTRY = 2;
+    private static final int ENTRY = 3;
     /** The longest message that may be sent. */
     private static final int MOST = 256;
     private static final int BYTE = 255;
+    private static final int PER_NOTE = (MOST - HEAD) / ENTRY;
+
+    /**
+     * A note as it came.
+     *
+     * @param part  which of the datagrams that tell all this is, from 0
+     * @param parts how many there are
+     */
+    record Told(int part, int parts, Map<Worker, Integer> slots) {
+    }
 
     private LoadNote() {
     }
 
-    /** The message on all of these workers that hold something. */
-    static byte[] bytes(List<Worker> ready) {
-        ByteBuffer b = ByteBuffer.allocate(MOST);
-        b.put(MAGIC).put(VERSION).put((byte) ready.size());
-        for (int i = 0; i < Math.min(BYTE, ready.size()); i++) {
-            int slots = (int) Math.min(BYTE, Math.ceil(ready.get(i).outSlots - 1e-9));
-            if (slots > 0 && b.remaining() >= ENTRY) {
-                b.put((byte) i).put((byte) slots);
+    /** Sixteen bits that stand for an id, the same in every process. */
+    static char mark(String id) {
+        int h = id.hashCode() * 0x9e3779b9;
+        return (char) (h >>> 16 ^ h);
+    }
+
+    /** The workers by their marks; those that share one stand for none of them. */
+    static Map<Character, Worker> byMark(List<Worker> workers) {
+        Map<Character, Worker> marks = new HashMap<>();
+        Set<Character> shared = new HashSet<>();
+        for (Worker w : workers) {
+            if (marks.put(mark(w.id), w) != null) {
+                shared.add(mark(w.id));
             }
         }
-        byte[] bytes = new byte[b.position()];
-        b.flip().get(bytes);
-        return bytes;
+        marks.keySet().removeAll(shared);
+        return marks;
+    }
+
+    /**
+     * The messages on all of these workers that hold something, in their order, as many to a datagram as fit;
+     * what would need more than fifteen datagrams is left out from the end.
+     */
+    static List<byte[]> bytes(List<Worker> workers) {
+        List<Worker> holding = workers.stream().filter(w -> w.outSlots > 1e-9).toList();
+        int parts = Math.min(BYTE / 16, Math.max(1, (holding.size() + PER_NOTE - 1) / PER_NOTE));
+        List<byte[]> notes = new ArrayList<>();
+        for (int part = 0; part < parts; part++) {
+            int from = part * PER_NOTE;
+            int to = Math.min(holding.size(), from + PER_NOTE);
+            ByteBuffer b = ByteBuffer.allocate(HEAD + (to - from) * ENTRY);
+            b.put(MAGIC).put(VERSION).put((byte) (parts << 4 | part));
+            for (Worker w : holding.subList(from, to)) {
+                b.putChar(mark(w.id)).put((byte) Math.min(BYTE, Math.ceil(w.outSlots - 1e-9)));
+            }
+            notes.add(b.array());
+        }
+        return notes;
     }
 
     static boolean is(byte[] data) {
@@ -42,21 +81,19 @@
                 && (data.length - HEAD) % ENTRY == 0;
     }
 
-    /** Slots in work by worker; null if the sender's list of ready workers is another than this. */
-    static Map<Worker, Integer> of(byte[] data, List<Worker> ready) {
-        // Danger: while news of the list is under way, places mean other workers at the other end.
-        if (data[2] != (byte) ready.size()) {
-            return null;
-        }
+    /** Slots in work by worker; workers that this dispatcher's list does not name are passed over. */
+    static Told of(byte[] data, Map<Character, Worker> byMark) {
+        int parts = (data[2] & BYTE) >> 4;
+        int part = data[2] & 0x0F;
         Map<Worker, Integer> slots = new HashMap<>();
         ByteBuffer b = ByteBuffer.wrap(data).position(HEAD);
         while (b.hasRemaining()) {
-            int place = b.get() & BYTE;
+            Worker w = byMark.get(b.getChar());
             int held = b.get() & BYTE;
-            if (place < ready.size()) {
-                slots.put(ready.get(place), held);
+            if (w != null) {
+                slots.put(w, held);
             }
         }
-        return slots;
+        return part < parts ? new Told(part, parts, slots) : null;
     }
 }
--- a/src/main/java/nettlewick/decision/Logic.java
+++ b/src/main/java/nettlewick/decision/Logic.java
@@ -731,10 +731,11 @@
         }
         probe();
         resend();
-        byte[] note = hasPeers() ? loads.news(now) : null;
-        for (int rank = 0; note != null && rank < settings.fleetSize(); rank++) {
-            if (rank != settings.rank()) {
-                act(new TellPeer(rank, note));
+        for (byte[] note : hasPeers() ? loads.news(now) : List.<byte[]>of()) {
+            for (int rank = 0; rank < settings.fleetSize(); rank++) {
+                if (rank != settings.rank()) {
+                    act(new TellPeer(rank, note));
+                }
             }
         }
     }
--- a/src/main/java/nettlewick/decision/SharedLoads.java
+++ b/src/main/java/nettlewick/decision/SharedLoads.java
@@ -13,16 +13,22 @@
     /** Age to which a note is believed; one is sent at least twice as often. */
     private static final long BELIEVED = 1_000_000_000;
 
+    /** A part of what a dispatcher tells. */
+    private record From(int rank, int part) {
+    }
+
     private record Told(Map<Worker, Integer> slots, long at) {
     }
 
-    private final Map<Integer, Told> told = new HashMap<>();
+    private final Map<From, Told> told = new HashMap<>();
     private List<Worker> byName = List.of();
-    private byte[] last = new byte[0];
+    private Map<Character, Worker> byMark = Map.of();
+    private List<byte[]> last = List.of();
     private long lastAt = State.NEVER;
 
     void list(Collection<Worker> ready) {
         byName = ready.stream().sorted(Comparator.comparing(w -> w.id)).toList();
+        byMark = LoadNote.byMark(byName);
     }
 
     /** Takes a peer's note over; false if these bytes are none. */
@@ -30,39 +36,41 @@
         if (!LoadNote.is(data)) {
             return false;
         }
-        Map<Worker, Integer> slots = LoadNote.of(data, byName);
-        if (slots != null) {
-            forget(told.put(rank, new Told(slots, now)));
-            slots.forEach((w, held) -> w.others += held);
+        LoadNote.Told note = LoadNote.of(data, byMark);
+        if (note != null) {
+            forget(told.put(new From(rank, note.part()), new Told(note.slots(), now)));
+            note.slots().forEach((w, held) -> w.others += held);
+            for (int gone = note.parts(); forget(told.remove(new From(rank, gone))); gone++) {
+                continue;
+            }
         }
         return true;
     }
 
-    /** The note to send now; null if nothing has changed and the last one is young. */
-    byte[] news(long now) {
-        byte[] note = LoadNote.bytes(byName);
-        if (Arrays.equals(note, last) && now - lastAt <= BELIEVED / 2) {
-            return null;
+    /** The notes to send now; none if nothing has changed and the last ones are young. */
+    List<byte[]> news(long now) {
+        List<byte[]> notes = LoadNote.bytes(byName);
+        boolean same = notes.size() == last.size();
+        for (int i = 0; same && i < notes.size(); i++) {
+            same = Arrays.equals(notes.get(i), last.get(i));
         }
-        last = note;
+        if (same && now - lastAt <= BELIEVED / 2) {
+            return List.of();
+        }
+        last = notes;
         lastAt = now;
-        return note;
+        return notes;
     }
 
     /** Leaves out what peers said that have been silent since. */
     void expire(long now) {
-        told.values().removeIf(t -> {
-            boolean old = now - t.at() > BELIEVED;
-            if (old) {
-                forget(t);
-            }
-            return old;
-        });
+        told.values().removeIf(t -> now - t.at() > BELIEVED && forget(t));
     }
 
-    private static void forget(Told old) {
+    private static boolean forget(Told old) {
         if (old != null) {
             old.slots().forEach((w, held) -> w.others -= held);
         }
+        return old != null;
     }
 }
