--- a/src/main/java/nettlewick/decision/Logic.java
+++ b/src/main/java/nettlewick/decision/Logic.java
@@ -141,10 +141,12 @@
             // Danger: work sent to a worker that drains. It leaves every pool at once, with no grace used.
             w.ready = entry.life() == Life.READY;
         }
+        pools.forEach(pool -> pool.refill(workers.values(), RING_PLACES));
         fill();
         loads.list(workers.values().stream().filter(w -> roll.tellsReady(w.id)).toList());
     }
 
+    /** On news of the list, and every Δ, since the pools go by this dispatcher's traffic too. */
     private void fill() {
         pools.forEach(this::fill);
         watched = pools.stream().flatMap(pool -> pool.members.stream()).distinct().toList();
@@ -163,7 +165,6 @@
 
     /** Draws the pool anew: a stretch of the own zone, and two thirds as many of the other zones. */
     private void fill(Pool pool) {
-        pool.refill(workers.values(), RING_PLACES);
         double part = (double) pool.near.size() * pool.zones / settings.fleetSize();
         // Danger: a busy dispatcher fills a pool made for a mean one by itself, while half the fleet is idle.
         double own = POOL_BUSY * triedRate / Math.max(1, pool.slots);
