Load notes go to four neighbours by place, not the tier; nothing held is told once

Logic.beat sent every load note to every other rank.

Change: Neighbours.of draws a ring of the ranks sorted by the places where their pools begin (frac(rank x golden ratio)), the same at every dispatcher; notes go to the two nearest on each side. Tiers of five or fewer tell all, as before. SharedLoads.news no longer repeats a note that says nothing is held. Logic.stretch takes its place from Neighbours.place.

--- a/src/main/java/nettlewick/decision/LoadNote.java
+++ b/src/main/java/nettlewick/decision/LoadNote.java
@@ -76,6 +76,11 @@
         return notes;
     }
 
+    /** Whether these notes tell that nothing is held. */
+    static boolean empty(List<byte[]> notes) {
+        return notes.size() == 1 && notes.get(0).length == HEAD;
+    }
+
     static boolean is(byte[] data) {
         return data.length >= HEAD && data.length <= MOST && data[0] == MAGIC && data[1] == VERSION
                 && (data.length - HEAD) % ENTRY == 0;
--- a/src/main/java/nettlewick/decision/Logic.java
+++ b/src/main/java/nettlewick/decision/Logic.java
@@ -60,7 +60,6 @@
     private static final long HOLD = BEAT / 8;
     /** Exception: slots of a kind that worthier jobs are bound to, kept from jobs that may go elsewhere. */
     private static final double RESERVE = 1;
-    private static final double GOLDEN = 0.6180339887498949;
 
     private final Settings settings;
     private final SplittableRandom random;
@@ -74,6 +73,7 @@
     private final List<Pool> pools = new ArrayList<>();
     private List<Worker> watched = List.of();
     private final SharedLoads loads;
+    private final int[] neighbours;
     private final ColdStart coldStart;
     private final Outliers outliers = new Outliers(() -> pools.get(0).ready);
     private final Mean[] pace;
@@ -86,6 +86,7 @@
         random = new SplittableRandom(seed);
         epoch = random.nextInt();
         loads = new SharedLoads();
+        neighbours = Neighbours.of(settings.rank(), settings.fleetSize(), Neighbours.REACH);
         pace = new Mean[settings.classes().size()];
         bound = new double[settings.kinds().size() + 1];
         for (int i = 0; i < pace.length; i++) {
@@ -179,8 +180,7 @@
 
     /** Danger: alike pools herd dispatchers. Each begins at its own place, spread by the golden ratio. */
     private void stretch(List<Worker> from, int size, List<Worker> to) {
-        double place = settings.rank() * GOLDEN;
-        int start = (int) ((place - Math.floor(place)) * from.size());
+        int start = (int) (Neighbours.place(settings.rank()) * from.size());
         for (int i = 0; i < Math.min(size, from.size()); i++) {
             to.add(from.get((start + i) % from.size()));
         }
@@ -732,11 +732,10 @@
         }
         probe();
         resend();
+        // Danger: notes to all grow with the square of the tier. They go to those whose pools lie near.
         for (byte[] note : hasPeers() ? loads.news(now) : List.<byte[]>of()) {
-            for (int rank = 0; rank < settings.fleetSize(); rank++) {
-                if (rank != settings.rank()) {
-                    act(new TellPeer(rank, note));
-                }
+            for (int rank : neighbours) {
+                act(new TellPeer(rank, note));
             }
         }
     }
--- a/src/main/java/nettlewick/decision/SharedLoads.java
+++ b/src/main/java/nettlewick/decision/SharedLoads.java
@@ -47,14 +47,18 @@
         return true;
     }
 
-    /** The notes to send now; none if nothing has changed and the last ones are young. */
+    /**
+     * The notes to send now; none if nothing has changed and the last ones are young, or said that nothing
+     * is held: peers forget what was told by the time it would be repeated, and an idle dispatcher sends
+     * nothing.
+     */
     List<byte[]> news(long now) {
         List<byte[]> notes = LoadNote.bytes(byName);
         boolean same = notes.size() == last.size();
         for (int i = 0; same && i < notes.size(); i++) {
             same = Arrays.equals(notes.get(i), last.get(i));
         }
-        if (same && now - lastAt <= BELIEVED / 2) {
+        if (same && (now - lastAt <= BELIEVED / 2 || LoadNote.empty(notes))) {
             return List.of();
         }
         last = notes;
--- a/src/test/java/nettlewick/decision/FleetTest.java
+++ b/src/test/java/nettlewick/decision/FleetTest.java
@@ -27,6 +27,48 @@
         assertTrue(share < 0.1, share + " of the jobs were refused or sent to a full worker; 80 of 120 slots are free");
     }
 
+    /** Datagrams a dispatcher sends each second while every one of them has two or three jobs a second. */
+    private static double datagramsPerDispatcher(int dispatchers, int runners) {
+        SmallFleet fleet = new SmallFleet(dispatchers, runners, 5);
+        for (int rank = 0; rank < dispatchers; rank++) {
+            fleet.traffic(rank, 2.5, SECOND / 4, 2 * SECOND, 6 * SECOND);
+        }
+        fleet.run(2 * SECOND);
+        long before = fleet.datagrams;
+        fleet.run(6 * SECOND);
+        return (fleet.datagrams - before) / 4.0 / dispatchers;
+    }
+
+    /** Guards against notes of every dispatcher to every other: their bytes grew with the square of the tier. */
+    @Test
+    void whatOneDispatcherTellsDoesNotGrowWithTheTier() {
+        double small = datagramsPerDispatcher(20, 40);
+        double large = datagramsPerDispatcher(100, 200);
+        assertTrue(large < 1.5 * small && large < 4 * Neighbours.REACH * 10,
+                large + " datagrams a second at 100 dispatchers, " + small + " at 20");
+    }
+
+    /** Who tells me is whom I tell; the ring of places leaves nobody out, and small tiers tell all as before. */
+    @Test
+    void neighboursAreFewSymmetricAndNearestByPlace() {
+        int size = 1000;
+        int reach = Neighbours.REACH;
+        int[] told = new int[size];
+        for (int each = 0; each < size; each++) {
+            int rank = each;
+            int[] near = Neighbours.of(rank, size, reach);
+            assertEquals(2 * reach, java.util.Arrays.stream(near).distinct().filter(r -> r != rank).count());
+            for (int other : near) {
+                told[other]++;
+                assertTrue(java.util.Arrays.stream(Neighbours.of(other, size, reach)).anyMatch(r -> r == rank));
+                double apart = Math.abs(Neighbours.place(other) - Neighbours.place(rank));
+                assertTrue(Math.min(apart, 1 - apart) < 3.0 * reach / size, rank + " and " + other + " lie apart");
+            }
+        }
+        assertTrue(java.util.Arrays.stream(told).allMatch(n -> n == 2 * reach));
+        assertEquals(4, Neighbours.of(2, 5, reach).length);
+    }
+
     /** Guards against belief in reports alone as soon as one of many peers is silent: here the third never speaks. */
     @Test
     void whatOnePeerTellsCountsThoughAnotherIsSilent() {
--- a/src/test/java/nettlewick/decision/MeasureFleet.java
+++ b/src/test/java/nettlewick/decision/MeasureFleet.java
@@ -5,7 +5,7 @@
  * for each runner (half of its slots), one dispatcher in seven with five times the others' part.
  */
 final class MeasureFleet {
-    private static final int[][] SIZES = {{12, 6}, {60, 14}, {600, 140}};
+    private static final int[][] SIZES = {{12, 6}, {200, 100}, {2000, 1000}};
     private static final long SECOND = Samples.SECOND;
     private static final long WORK = SECOND / 4;
 
--- a/src/test/java/nettlewick/decision/SharedLoadsTest.java
+++ b/src/test/java/nettlewick/decision/SharedLoadsTest.java
@@ -45,6 +45,21 @@
         assertEquals(2, ours.get(0).others, "one is too old");
     }
 
+    /** An idle dispatcher of a large tier would send empty notes to its peers for nothing, twice a second. */
+    @Test
+    void thatNothingIsHeldIsToldOnce() {
+        List<Worker> theirs = fleet(3);
+        SharedLoads sender = new SharedLoads();
+        sender.list(theirs);
+        assertEquals(1, sender.news(0).size());
+        assertEquals(List.of(), sender.news(SECOND));
+        theirs.get(1).outSlots = 1;
+        assertEquals(1, sender.news(SECOND + 1).size(), "a change is told at once");
+        theirs.get(1).outSlots = 0;
+        assertEquals(1, sender.news(SECOND + 2).size(), "and that it is over");
+        assertEquals(List.of(), sender.news(3 * SECOND));
+    }
+
     /** While a release is under way, lists of one length differ: a note must not mean another worker. */
     @Test
     void aNoteMeansTheSameWorkersWhateverListTheOtherHas() {
