--- a/src/main/java/nettlewick/decision/Logic.java
+++ b/src/main/java/nettlewick/decision/Logic.java
@@ -205,6 +205,7 @@
 
     private final Mean meanCost = new Mean();
     private final Mean meanDensity = new Mean();
+    private final Needs most = new Needs();
     private final List<Job> held = new ArrayList<>();
     private double arrivals;
 
@@ -222,6 +223,7 @@
                 tenants.getOrDefault(a.tenant(), tenures.get(0)), now);
         meanCost.add(job.cost);
         meanDensity.add(job.density());
+        most.add(a);
         arrivals++;
         probeTokens += PROBES_PER_ARRIVAL;
         jobs.put(a.id(), job);
@@ -701,7 +703,7 @@
     }
 
     private void report(Worker w, Load load) {
-        w.report(load, now, pools.get(w.kind + 1));
+        w.report(load, now, pools.get(w.kind + 1), most);
         double left = w.free - w.waiting + w.outAt(beats - (int) (REPORT_LAG / BEAT));
         // Danger: a report is as old as a job is long. What it says is told apart into what was known to be
         // in work then, which is known better now, and what only it can tell: a queue, or work nobody awaits.
--- a/src/main/java/nettlewick/decision/Outliers.java
+++ b/src/main/java/nettlewick/decision/Outliers.java
@@ -114,7 +114,7 @@
      */
     static boolean lost(Attempt a, long now, long progress) {
         return a.startedAt == State.NEVER ? a.worker.startedSent - a.sentAt > OVERTAKEN
-                || a.worker.answeredAt - a.sentAt > SEEN && a.worker.waiting < 0.5
+                || a.worker.answeredAt - a.sentAt > SEEN && a.worker.queueEmpty
                 : progress > 0 && now - a.signAt > SIGNS * progress;
     }
 
--- a/src/main/java/nettlewick/decision/State.java
+++ b/src/main/java/nettlewick/decision/State.java
@@ -28,6 +28,8 @@
         double free;
         double waiting;
         double memory;
+        /** The last report proves that nothing waits. */
+        boolean queueEmpty;
         /** Slots that are left but for what is known to be sent here, smoothed over reports. */
         double left;
         long leftAt = NEVER;
@@ -68,7 +70,7 @@
         }
 
         /** Takes a report over in slots, whichever values this site's reports hold. */
-        void report(Dispatcher.Load load, long now, Pool kind) {
+        void report(Dispatcher.Load load, long now, Pool kind, Needs most) {
             answeredAt = now;
             memory = Double.isNaN(load.freeMemory()) ? Double.MAX_VALUE : load.freeMemory();
             double held = Double.isNaN(load.inHand()) ? 0 : load.inHand();
@@ -84,6 +86,9 @@
             }
             kind.slots = free >= 1 ? Math.max(kind.slots, free + held) : kind.slots;
             waiting = queue ? load.waiting() : free >= 1 ? 0 : Math.max(0, held - kind.slots);
+            // Danger: a report without a queue says nothing of it. The first that waits may be a job that does
+            // not fit while slots are free; only room for any job proves that none waits.
+            queueEmpty = queue ? waiting < 0.5 : free >= most.slots && memory >= most.memory;
         }
 
         void sent(Attempt a) {
@@ -112,6 +117,17 @@
         }
     }
 
+    /** The most that one job was seen to need here. */
+    static final class Needs {
+        double slots = 1;
+        double memory;
+
+        void add(Dispatcher.Arrival a) {
+            slots = Math.max(slots, a.slots());
+            memory = Math.max(memory, a.memory());
+        }
+    }
+
     /** One sending of a job. */
     static final class Attempt {
         final Job job;
--- a/src/test/java/nettlewick/decision/OutliersTest.java
+++ b/src/test/java/nettlewick/decision/OutliersTest.java
@@ -70,12 +70,12 @@
         Job job = new Job(Samples.arrival("a", "read", "red"), read, 0, null, 0);
         Attempt sent = new Attempt(job, w, 0, 0);
         w.sent(sent);
-        w.waiting = 0;
+        w.queueEmpty = true;
         w.answeredAt = 1500 * MS;
         assertFalse(Outliers.lost(sent, 1501 * MS, 0));
         w.answeredAt = 1501 * MS;
         assertTrue(Outliers.lost(sent, 1501 * MS, 0));
-        w.waiting = 1;
+        w.queueEmpty = false;
         assertFalse(Outliers.lost(sent, 1501 * MS, 0), "it may be the one that waits");
         assertFalse(outliers.affordsCopy());
         outliers.lose(sent);
@@ -89,6 +89,27 @@
         assertEquals(0, w.outSlots);
     }
 
+    /**
+     * Guards against attempts called lost, and called off, for waiting where reports tell no queue: seen on an
+     * overloaded day, where what was called off ran on and 75% of all attempts found their runner full.
+     */
+    @Test
+    void aReportWithoutAQueueProvesItEmptyOnlyWithRoomForAnyJob() {
+        State.Pool kind = new State.Pool(-1);
+        State.Needs most = new State.Needs();
+        most.add(new Dispatcher.Arrival("a", "read", null, MS, 2, 1.5, 0, null, false));
+        Worker w = fleet.get(0);
+        Attempt sent = new Attempt(null, w, 0, 0);
+        double none = Double.NaN;
+        double[][] freeAndMemory = {{0, 4}, {1, 4}, {4, 1}, {4, 4}};
+        for (double[] f : freeAndMemory) {
+            w.report(new Dispatcher.Load(f[0], f[1], none, none, none), 2000 * MS, kind, most);
+            assertEquals(f == freeAndMemory[3], Outliers.lost(sent, 2000 * MS, 0), f[0] + " slots, " + f[1]);
+        }
+        w.report(new Dispatcher.Load(4, 4, 1, none, none), 2000 * MS, kind, most);
+        assertFalse(Outliers.lost(sent, 2000 * MS, 0), "one waits");
+    }
+
     @Test
     void whatShouldHaveStartedShowsInTime() {
         Attempt sent = new Attempt(null, fleet.get(0), 0, 0);
