Waits are foretold by all classes' jobs and corrected by what was waited; late runners come last

Three causes in Logic: hopeless counted what is ahead in a queue at the pace of the job's own class (a statement of 0.8 s behind jobs of 3 s); nothing was learned from waits that turned out longer; and a runner whose own jobs of ours wait was taken for free where it reports free slots (the first does not fit its memory). Change: waits go by the mean running time of all classes (runs), times what waits were against what was foretold, by kind (State.Waits); own jobs that have waited longer than a start takes count (Outliers.waiting); a runner where the job would be late by its own allowance and the measured drag comes after all in time, other zones' too. Constants gone: 1.6 and 2 for slowness, the two thresholds for worthy jobs and others.

--- a/src/main/java/nettlewick/decision/Logic.java
+++ b/src/main/java/nettlewick/decision/Logic.java
@@ -52,8 +52,6 @@
     private static final double GROWTH = 0.1;
     /** A job whose slot is worth so much more than the usual goes on where others give up. */
     private static final double WORTHY = 1.2;
-    /** Running time counted for a job of a hint of one: what it takes on the slowest usual machine. */
-    private static final double SLOW = 1.6;
     /** Part of its aim that a job may be expected to wait. */
     private static final double WAIT_PART = 0.5;
     /** Time given to the answers of a key's workers. */
@@ -205,6 +203,8 @@
 
     private final Mean meanCost = new Mean();
     private final Mean meanDensity = new Mean();
+    /** How long jobs run, of all classes together. */
+    private final Mean runs = new Mean();
     private final Needs most = new Needs();
     private final List<Job> held = new ArrayList<>();
     private double arrivals;
@@ -270,11 +270,18 @@
 
     /** Exception to the allowance: a job that would wait past its aim at the best worker is refused. */
     private boolean hopeless(Job job, Worker w) {
-        double slots = Math.max(1, pools.get(w.kind + 1).slots);
-        double wait = -spare(job, w) * pace[job.index].value / slots;
+        double wait = wait(job, w) * pools.get(w.kind + 1).waits.factor();
         // Danger: worthy jobs that would be late too pile up at a slowed worker and make each other late.
-        return now - w.answeredAt <= DELTA && wait > (worthy(job) ? patience(job) - work(job)
-                : WAIT_PART * job.kind.aim() + Math.max(0, job.kind.stretch() - SLOW) * job.arrival.hint());
+        double left = patience(job) - run(job, w);
+        return now - w.answeredAt <= DELTA && wait > Math.max(WAIT_PART * job.kind.aim(), left);
+    }
+
+    /**
+     * How long the job would wait there, by what is ahead of it. Danger: what is ahead in a queue are jobs of
+     * all classes; the job's own class says nothing of them.
+     */
+    private double wait(Job job, Worker w) {
+        return Math.max(0, -spare(job, w)) * runs.value / Math.max(1, pools.get(w.kind + 1).slots);
     }
 
     private long retryAfter(Job job) {
@@ -358,6 +365,11 @@
         return job.density() > WORTHY * meanDensity.value;
     }
 
+    /** How long it would run there, by its hint and by how that worker and its kind run against hints. */
+    private double run(Job job, Worker w) {
+        return work(job) * (job.arrival.hint() > 0 ? outliers.drag(w, pools.get(w.kind + 1)) : 1);
+    }
+
     private double work(Job job) {
         return job.arrival.hint() > 0 ? job.arrival.hint() : pace[job.index].value;
     }
@@ -411,6 +423,7 @@
         roomy = true;
         Worker best = null;
         double most = 0;
+        boolean roomAtBest = false;
         for (Worker w : pool.members) {
             if (now - w.answeredAt <= DELTA && usable(job, w)) {
                 double room = spare(job, w);
@@ -418,15 +431,18 @@
                 double rank = room >= 0 ? room + (w.near ? 1000 : 500) : room + (w.near ? 0.5 : 0);
                 // Danger: a full worker answers fast and looks less busy than one with a queue. It is last.
                 rank -= wasFull(job, w) ? 2000 : 0;
-                rank -= room >= 0 && outliers.slow(w) ? 300 : 0;
+                // Danger: a slowed worker with room takes jobs that will be late. Which ones, they tell;
+                // being late costs its whole worth, crossing zones a part.
+                rank -= room >= 0 && run(job, w) > patience(job) ? 600 : 0;
                 if (best == null || rank > most) {
                     best = w;
                     most = rank;
+                    roomAtBest = room >= 0 && !wasFull(job, w);
                 }
             }
         }
         if (best != null) {
-            roomy = most >= 500;
+            roomy = roomAtBest;
             return home != null && !roomy ? home : best;
         }
         for (int tries = 0; tries < 2 * POOL_LEAST && !pool.ready.isEmpty(); tries++) {
@@ -472,7 +488,8 @@
      */
     private double spare(Job job, Worker w) {
         double room = left(w) - w.outSlots;
-        room = wasFull(job, w) ? Math.min(0, room) : room;
+        double waiting = Outliers.waiting(w, now);
+        room = wasFull(job, w) || waiting > 0 ? Math.min(-waiting, room) : room;
         room -= job.kind.kind() < 0 && w.kind >= 0 && bound[w.kind + 1] > job.kind.worth() ? RESERVE : 0;
         return (job.arrival.memory() > w.memory ? Math.min(room, 0) : room) - job.arrival.slots();
     }
@@ -504,6 +521,7 @@
             awayTokens = Math.min(awayTokens + (roomAtHome ? AWAY : -1), 2);
         }
         a.roomy = roomy || pace[job.index].value == 0;
+        a.foretold = a.roomy ? 0 : wait(job, w);
         if (w.out.isEmpty()) {
             w.signAt = now;
         }
@@ -534,7 +552,10 @@
             a.neverRan = e.result().neverRan;
             a.worker.ended(a);
             if (e.result() == Result.SERVED) {
-                outliers.ran(a, now);
+                outliers.ran(a, pools.get(a.worker.kind + 1), now);
+                if (a.startedAt != State.NEVER || a.roomy) {
+                    runs.add(a.startedAt != State.NEVER ? now - a.startedAt : e.latency());
+                }
                 roll.served(e.worker());
             }
         }
@@ -582,7 +603,11 @@
             outliers.alive(w, now);
             Job job = jobs.get(e.id());
             if (job != null && e.attempt() >= 0 && e.attempt() < job.attempts.size()) {
-                Outliers.sign(job.attempts.get(e.attempt()), e.share() <= 0, now);
+                Attempt a = job.attempts.get(e.attempt());
+                if (e.share() <= 0 && a.startedAt == State.NEVER && a.foretold > 0) {
+                    pools.get(a.worker.kind + 1).waits.add(a.foretold, now - a.sentAt);
+                }
+                Outliers.sign(a, e.share() <= 0, now);
             }
         }
     }
--- a/src/main/java/nettlewick/decision/Outliers.java
+++ b/src/main/java/nettlewick/decision/Outliers.java
@@ -7,6 +7,7 @@
 import nettlewick.decision.State.Attempt;
 import nettlewick.decision.State.Job;
 import nettlewick.decision.State.Mean;
+import nettlewick.decision.State.Pool;
 import nettlewick.decision.State.Worker;
 
 /** Outlier detection: which workers are left alone for how they end what is sent, and their way back. */
@@ -29,10 +30,8 @@
     private static final long SEEN = 1_500_000_000;
     /** Nineteen in twenty that are sent to a free slot start within this. */
     private static final long START = 150_000_000;
-    /** A worker is slow if its jobs run so many times as long against their hints as the fleet's. */
-    private static final double SLOW = 2;
-    /** Jobs from which on that is believed. */
-    private static final int BELIEVED = 3;
+    /** So many jobs of its own weigh as much as all of its kind's in what a worker's jobs run. */
+    private static final double BELIEVED = 3;
 
     /** A silent worker is left after this many expected job times of silence, summed over its attempts. */
     private static final double SILENCE = 5;
@@ -41,7 +40,6 @@
     private static final int COPIES_MOST = 6;
 
     private final Supplier<List<Worker>> ready;
-    private final Mean fleetDrag = new Mean(100);
     private int copies;
     /** Share of connections that break, over the whole fleet. */
     private final Mean breaks = new Mean(100);
@@ -150,17 +148,33 @@
     }
 
     /** An attempt was served: compares how long it ran with its hint. */
-    void ran(Attempt a, long now) {
+    void ran(Attempt a, Pool kind, long now) {
         if (a.startedAt != State.NEVER && a.job.arrival.hint() > 0 && now > a.startedAt) {
             double drag = Math.log((double) (now - a.startedAt) / a.job.arrival.hint());
             a.worker.drag.add(drag);
-            fleetDrag.add(drag);
+            kind.drag.add(drag);
         }
     }
 
-    /** Slowness against peers. Danger: a slowed worker with room takes jobs that will be late. */
-    boolean slow(Worker w) {
-        return w.drag.count >= BELIEVED && w.drag.value - fleetDrag.value > Math.log(SLOW);
+    /** How many times its hint a job is expected to run there: few jobs there count beside its kind's. */
+    double drag(Worker w, Pool kind) {
+        double own = w.drag.count;
+        return Math.exp((own * w.drag.value + BELIEVED * kind.drag.value) / (own + BELIEVED));
+    }
+
+    /**
+     * Slots of own jobs that wait there, 0 if none has waited for longer than a start takes. Danger: where
+     * reports tell no queue, slots may be free and a first job that fits none of them hold up all others.
+     */
+    static double waiting(Worker w, long now) {
+        double slots = 0;
+        boolean blocked = false;
+        for (Attempt a : w.out) {
+            boolean waits = a.startedAt == State.NEVER && !a.lost;
+            slots += waits ? a.job.arrival.slots() : 0;
+            blocked |= waits && now - a.sentAt > START;
+        }
+        return blocked ? slots : 0;
     }
 
     /** Danger: a worker whose time is over may be ill still. One harmless job is its probe, then more. */
--- a/src/main/java/nettlewick/decision/State.java
+++ b/src/main/java/nettlewick/decision/State.java
@@ -86,8 +86,8 @@
             }
             kind.slots = free >= 1 ? Math.max(kind.slots, free + held) : kind.slots;
             waiting = queue ? load.waiting() : free >= 1 ? 0 : Math.max(0, held - kind.slots);
-            // Danger: a report without a queue says nothing of it. The first that waits may be a job that does
-            // not fit while slots are free; only room for any job proves that none waits.
+            // Danger: a report without a queue says nothing of it. The first that waits may be a job that
+            // does not fit while slots are free; only room for any job proves that none waits.
             queueEmpty = queue ? waiting < 0.5 : free >= most.slots && memory >= most.memory;
         }
 
@@ -145,6 +145,8 @@
         long signAt = NEVER;
         /** Room was seen when it was sent. */
         boolean roomy;
+        /** How long it was foretold to wait where none was seen, in nanoseconds. */
+        double foretold;
 
         Attempt(Job job, Worker worker, int number, long sentAt) {
             this.job = job;
@@ -227,6 +229,10 @@
         double carried;
         /** How often that was measured. */
         int measures;
+        /** How much longer than hinted jobs run on this kind: the logarithm's mean. */
+        final Mean drag = new Mean(100);
+        /** What jobs waited here against what was foretold. */
+        final Waits waits = new Waits();
         /** Most free slots that a worker of the kind was seen to have. */
         double slots;
 
@@ -322,6 +328,26 @@
         }
     }
 
+    /** How long jobs waited where a wait was foretold: the next is off by as much as the last ones were. */
+    static final class Waits {
+        /** So many foretold waits weigh as much as believing them as they are. */
+        private static final double BELIEVED = 5;
+        private static final double MOST = 8;
+        private final Mean foretold = new Mean();
+        private final Mean waited = new Mean();
+
+        void add(double told, double was) {
+            foretold.add(told);
+            waited.add(was);
+        }
+
+        double factor() {
+            double n = foretold.count;
+            double factor = n == 0 ? 1 : waited.value / Math.max(foretold.value, 1);
+            return Math.min(MOST, (n * factor + BELIEVED) / (n + BELIEVED));
+        }
+    }
+
     /** A mean over all at first, over about the last fifty, or another number, later. */
     static final class Mean {
         private final int most;
--- /dev/null
+++ b/src/test/java/nettlewick/decision/SecondSiteTest.java
@@ -0,0 +1,124 @@
+package nettlewick.decision;
+
+import static nettlewick.decision.Samples.MS;
+import static nettlewick.decision.Samples.SECOND;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import nettlewick.decision.Dispatcher.*;
+import org.junit.jupiter.api.Test;
+
+/**
+ * What a site shows that reports no queue, counts memory, runs jobs of seconds and stops nothing that is called
+ * off: the module goes by its settings and by what attempts show, not by another site's figures.
+ */
+class SecondSiteTest {
+    private static final double NONE = Double.NaN;
+    private long now = SECOND;
+
+    private static JobClass jobClass(String name, Repeat repeat, long aim, double stretch, double worth) {
+        return new JobClass(name, repeat, Scope.ZONE, 30 * SECOND, aim, stretch, 25 * SECOND, worth, 0, false, -1, 0);
+    }
+
+    private final Logic logic = new Logic(new Settings(0, 1, "north",
+            List.of(jobClass("light", Repeat.RETRYABLE, 400 * MS, 1.75, 3),
+                    jobClass("heavy", Repeat.RETRYABLE, 1500 * MS, 2.5, 5),
+                    jobClass("transfer", Repeat.FRAGILE, 1500 * MS, 1.75, 10)),
+            List.of(new Tenant("red", 1, 10)), List.of("box"), false, false, Reports.ON_PROBE, SECOND,
+            new Limits(5, true, true, true, true, false, 2 * SECOND),
+            new Rules(5 * MS, 10 * SECOND, 9 * SECOND, 0.3, 250 * MS, SECOND, 3)), 7);
+
+    private List<Action> at(long time, Event... events) {
+        now = time;
+        return logic.handle(now, List.of(events));
+    }
+
+    private static Arrival job(String id, String jobClass, long hint, double slots, double memory) {
+        return new Arrival(id, jobClass, "red", 25 * SECOND, slots, memory, hint, null, false);
+    }
+
+    private static ProbeAnswer report(String worker, double free, double memory) {
+        return new ProbeAnswer(worker, Result.SERVED, MS, new Load(free, memory, NONE, NONE, 0.5));
+    }
+
+    private String sentTo(List<Action> actions) {
+        List<Dispatch> sent = Samples.only(Dispatch.class, actions);
+        return sent.isEmpty() ? null : sent.get(0).worker();
+    }
+
+    private void list(String... zones) {
+        List<WorkerEntry> entries = new ArrayList<>();
+        for (int i = 0; i < zones.length; i++) {
+            entries.add(Samples.entry("w" + i, Life.READY, 0, zones[i], i));
+        }
+        at(now, new WorkerList(true, entries));
+    }
+
+    /** A job that runs at {@code worker} and ends after {@code run}; the clock goes on by as much. */
+    private void runs(String id, String jobClass, String worker, long hint, long run) {
+        List<Action> actions = at(now, report(worker, 4, 4), job(id, jobClass, hint, 1, 0.5));
+        assertEquals(worker, sentTo(actions));
+        at(now + MS, new Progress(id, 0, worker, 0));
+        at(now + run, new Outcome(id, 0, worker, Result.SERVED, run + MS, true, null));
+    }
+
+    /** Guards against a runner taken for free while its first waiting job does not fit in memory. */
+    @Test
+    void aRunnerWhoseFirstWaitingJobDoesNotFitIsNotSeenAsFree() {
+        list("north", "north");
+        assertEquals("w0", sentTo(at(now, report("w0", 4, 4), report("w1", 0, 4), job("a", "heavy", 3 * SECOND, 1, 3))));
+        at(now + MS, new Progress("a", 0, "w0", 0));
+        assertEquals("w0", sentTo(at(now, report("w0", 3, 4), report("w1", 0, 4), job("b", "heavy", 3 * SECOND, 1, 3))));
+        for (int i = 0; i < 5; i++) {
+            at(now + 100 * MS, report("w0", 3, 1), report("w1", 1.2, 4), new Timer("beat"));
+        }
+        assertEquals("w1", sentTo(at(now, job("c", "heavy", 3 * SECOND, 1, 0.5))), "a third would wait behind b");
+    }
+
+    /** Guards against the wait behind heavy jobs being counted as if they were light ones. */
+    @Test
+    void aLightJobBehindHeavyOnesIsRefusedAtOnce() {
+        list("north");
+        for (int i = 0; i < 6; i++) {
+            runs("h" + i, "heavy", "w0", 4 * SECOND, 4 * SECOND);
+        }
+        runs("l", "light", "w0", 200 * MS, 200 * MS);
+        for (int i = 0; i < 7; i++) {
+            at(now, report("w0", Math.max(0, 4 - i), 4), job("q" + i, "transfer", 4 * SECOND, 1, 0.1));
+        }
+        List<Action> actions = at(now, report("w0", 0, 4), job("late", "light", 200 * MS, 1, 0.1));
+        assertEquals(1, Samples.only(Refuse.class, actions).size(), actions.toString());
+    }
+
+    /** Guards against a near runner that is slowed taking what another zone's would do in time. */
+    @Test
+    void aJobThatWouldBeLateNearGoesToAnotherZoneInTime() {
+        list("north", "south");
+        for (int i = 0; i < 6; i++) {
+            runs("f" + i, "heavy", "w1", SECOND, SECOND);
+        }
+        now += 2 * SECOND;
+        for (int i = 0; i < 6; i++) {
+            runs("s" + i, "heavy", "w0", SECOND, 5 * SECOND);
+        }
+        List<Action> actions = at(now, report("w0", 4, 4), report("w1", 4, 4), job("t", "transfer", 4 * SECOND, 1, 0.1));
+        assertEquals("w1", sentTo(actions));
+    }
+
+    /** Guards against waits foretold too short, time after time, at what reports do not show. */
+    @Test
+    void aForetoldWaitIsCorrectedByWhatWasWaited() {
+        State.Waits waits = new State.Waits();
+        assertEquals(1, waits.factor());
+        for (int i = 0; i < 40; i++) {
+            waits.add(500 * MS, 1500 * MS);
+        }
+        assertEquals(3, waits.factor(), 0.3);
+        for (int i = 0; i < 300; i++) {
+            waits.add(500 * MS, 250 * MS);
+        }
+        assertEquals(0.5, waits.factor(), 0.1);
+    }
+}
