Long jobs leave an upgraded process in time; asked lists with full jitter; two lost in a row are the runner's

At fault: Node.shutDown and Core.arrive take whatever comes, and Node.succeed listens as soon as it is warm. Change: core.Parting (pure) tells by hints and measured running times what outlives the process; it is held until SIGTERM and given back, and a successor waits for what waiting saves, 4 s after its start at the latest. AskPause: where one discovery is asked by the whole tier, pauses grow with it, full jitter, within half of ask_within; a first word is waited for as long (it was 1.5 s, with 3 s stated for a call). Outliers: a hung runner that swallows jobs looked emptier with each one lost; two in a row, or as many as chance does not explain, leave it out. A keyed job that is lost goes on in its zone and window. No wait is foretold shorter than an own job waits there by now.

--- a/src/main/java/nettlewick/core/Attempt.java
+++ b/src/main/java/nettlewick/core/Attempt.java
@@ -9,6 +9,7 @@
     private final int number;
     private double startedAt = Double.NaN;
     private double endedAt = Double.NaN;
+    private double share;
 
     Attempt(Request request, int number, String worker, double sentAt) {
         super(worker, sentAt);
@@ -29,6 +30,17 @@
         startedAt = Double.isNaN(startedAt) ? at : startedAt;
     }
 
+    /** The worker tells how much of the job is done. */
+    void done(double part) {
+        share = Math.max(share, part);
+    }
+
+    /** Milliseconds that it has left to run, where it is expected to run for {@code whole} in all. */
+    double left(double now, double whole) {
+        double span = span(now, false);
+        return share > 0.05 && span > 0 ? span * (1 - share) / share : Math.max(whole / 4, whole - span);
+    }
+
     void endedAt(double at) {
         endedAt = at;
     }
--- a/src/main/java/nettlewick/core/Core.java
+++ b/src/main/java/nettlewick/core/Core.java
@@ -50,6 +50,9 @@
     private final BlockingQueue<Runnable> inbox = new LinkedBlockingQueue<>();
     private final PriorityQueue<Due> timers = new PriorityQueue<>();
     private final Map<String, Open> open = new HashMap<>();
+    private final Parting parting = new Parting();
+    /** Held back while this process is about to be succeeded. */
+    private final List<Open> held = new ArrayList<>();
     /** Ids of requests that are over, the oldest first. */
     private final Set<String> past = new LinkedHashSet<>();
     private final Set<String> ready = new HashSet<>();
@@ -156,6 +159,7 @@
         inbox.add(() -> {
             if (!attempt.over()) {
                 attempt.started(at);
+                attempt.done(share);
                 batch.add(new Progress(attempt.request().id(), attempt.number(), attempt.worker(), share));
                 Open o = open.get(attempt.request().id());
                 if (o != null && !o.answered) {
@@ -214,6 +218,55 @@
         forget(o);
     }
 
+    /**
+     * Another process is to succeed this one: the planned end is expected to begin and the kill to come at
+     * these times. Jobs that would outlive this process are held back until then.
+     */
+    public void foresee(double term, double kill) {
+        inbox.add(() -> parting.foresee(term, kill));
+    }
+
+    /** Nobody succeeds this process after all. */
+    public void stay() {
+        inbox.add(() -> {
+            parting.stay();
+            letGo();
+        });
+    }
+
+    /** The planned end begins: what would outlive this process is given back, while that is harmless. */
+    public void part(double kill) {
+        inbox.add(() -> {
+            parting.begin(kill);
+            List.copyOf(held).forEach(this::giveBack);
+            held.clear();
+        });
+    }
+
+    /** Tells whether a job in work ends only if the planned end waits; the kill is {@code span} after it. */
+    public void saves(double span, java.util.function.Consumer<Boolean> then) {
+        inbox.add(() -> then.accept(open.values().stream().filter(o -> !o.answered && !held.contains(o))
+                .anyMatch(o -> parting.saves(left(o), now, span))));
+    }
+
+    private double left(Open o) {
+        double whole = parting.expected(o.request.jobClass(), o.request.hint());
+        return o.attempts.stream().filter(a -> !a.over()).mapToDouble(a -> a.left(now, whole)).min()
+                .orElse(whole);
+    }
+
+    private void giveBack(Open o) {
+        if (answer(o)) {
+            refuse(o.request, o, 0);
+            forget(o);
+        }
+    }
+
+    private void letGo() {
+        held.stream().filter(o -> !o.answered).forEach(this::hand);
+        held.clear();
+    }
+
     public void stop() {
         inbox.add(() -> stopped = true);
     }
@@ -332,9 +385,22 @@
         Open o = new Open(r, now);
         open.put(r.id(), o);
         unanswered++;
+        after(r.deadline() + GUARD, () -> guard(o));
+        switch (parting.verdict(r.jobClass(), r.hint(), now)) {
+            case TAKE -> hand(o);
+            case REFUSE -> giveBack(o);
+            case HOLD -> {
+                held.add(o);
+                after(parting.heldUntil(), this::letGo);
+            }
+        }
+    }
+
+    /** Hands a request to the module. */
+    private void hand(Open o) {
+        Request r = o.request;
         batch.add(new Arrival(r.id(), r.jobClass(), r.tenant(), nanos(r.deadline()) - nanos(now), r.slots(),
                 r.memory(), nanos(r.hint()), r.key(), r.repeat()));
-        after(r.deadline() + GUARD, () -> guard(o));
     }
 
     private void guard(Open o) {
@@ -379,6 +445,7 @@
         boolean settled = o == null || o.answered;
         if (!settled && outcome.result() == Result.SERVED) {
             answer(o);
+            parting.ran(r.jobClass(), r.hint(), a.span(now, false));
             settle(r, o, Books.Ending.SERVED, a, () -> r.caller().served(outcome.body()));
             settled = true;
         }
--- /dev/null
+++ b/src/main/java/nettlewick/core/Parting.java
@@ -0,0 +1,96 @@
+package nettlewick.core;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * What a process that is to end still takes, by how long jobs run: docs/deployments.md, "Leaving with work in
+ * hand". Pure: times are the caller's, in milliseconds; all it knows is what it is told.
+ */
+final class Parting {
+    /** Take it; hold it back until the planned end begins; refuse it. */
+    enum Verdict { TAKE, HOLD, REFUSE }
+
+    /** Running times are rough: so many times what is expected is counted. */
+    private static final double MARGIN = 1.3;
+    /** Time from a job's end to its answer's last byte, and for clocks of two processes to differ. */
+    private static final double SPARE = 300;
+    /** A planned end that has not come so long after it was foreseen does not come. */
+    static final double LATE = 1000;
+    /** Jobs over which running times are learned. */
+    private static final double JOBS = 30;
+
+    /** How long a class's jobs run: against their hints (the logarithm's mean), and where they have none. */
+    private static final class Pace {
+        double count;
+        double drag;
+        double span;
+    }
+
+    private final Map<String, Pace> paces = new HashMap<>();
+    private double term = Double.NaN;
+    private double kill = Double.NaN;
+    private boolean begun;
+
+    /** A job of that class ran for so long. */
+    void ran(String jobClass, double hint, double span) {
+        if (span <= 0) {
+            return;
+        }
+        Pace p = paces.computeIfAbsent(jobClass, c -> new Pace());
+        p.count = Math.min(p.count + 1, JOBS);
+        p.span += (span - p.span) / p.count;
+        p.drag += hint > 0 ? (Math.log(span / hint) - p.drag) / p.count : 0;
+    }
+
+    /** How long a job is expected to run; by its hint alone where none of its class has run, else 0. */
+    double expected(String jobClass, double hint) {
+        Pace p = paces.get(jobClass);
+        return hint > 0 ? hint * Math.exp(p == null ? 0 : p.drag) : p == null ? 0 : p.span;
+    }
+
+    /** The planned end is expected to begin and the kill to come at these times. */
+    void foresee(double termAt, double killAt) {
+        if (!begun) {
+            term = termAt;
+            kill = killAt;
+        }
+    }
+
+    /** It is not to end after all. */
+    void stay() {
+        foresee(Double.NaN, Double.NaN);
+    }
+
+    /** The planned end has begun; the kill comes no sooner than at that time. */
+    void begin(double killAt) {
+        begun = true;
+        kill = killAt;
+    }
+
+    /** When a held job is let go if the planned end has not begun. */
+    double heldUntil() {
+        return term + LATE;
+    }
+
+    /** What becomes of a job that comes now. Danger: one that outlives this process is lost with it. */
+    Verdict verdict(String jobClass, double hint, double now) {
+        if (Double.isNaN(kill) || !begun && now >= heldUntil()
+                || inTime(now, expected(jobClass, hint), kill)) {
+            return Verdict.TAKE;
+        }
+        return begun ? Verdict.REFUSE : Verdict.HOLD;
+    }
+
+    /**
+     * Whether waiting until the foreseen end saves a job with that much left to run: it ends before the kill
+     * then, and would not if the planned end began now, the kill {@code span} later.
+     */
+    boolean saves(double left, double now, double span) {
+        return !begun && now < term && inTime(now, left, kill) && !inTime(now, left, now + span);
+    }
+
+    private static boolean inTime(double now, double run, double killAt) {
+        return run <= 0 || now + MARGIN * run <= killAt - SPARE;
+    }
+}
--- a/src/main/java/nettlewick/decision/Logic.java
+++ b/src/main/java/nettlewick/decision/Logic.java
@@ -270,17 +270,22 @@
 
     /** Exception to the allowance: a job that would wait past its aim at the best worker is refused. */
     private boolean hopeless(Job job, Worker w) {
-        double wait = wait(job, w) * pools.get(w.kind + 1).waits.factor();
+        double wait = wait(job, w);
         // Danger: worthy jobs that would be late too pile up at a slowed worker and make each other late.
         double left = patience(job) - run(job, w);
         return now - w.answeredAt <= DELTA && wait > Math.max(WAIT_PART * job.kind.aim(), left);
     }
 
     /**
-     * How long the job would wait there, by what is ahead of it. Danger: what is ahead in a queue are jobs of
-     * all classes; the job's own class says nothing of them.
+     * How long the job would wait there, by what is ahead of it, and no less than an own job there waits by
+     * now. Danger: what is ahead in a queue are jobs of all classes; its own class says nothing of them.
+     * And a process that has just started knows nothing of a queue that reports do not tell.
      */
     private double wait(Job job, Worker w) {
+        return Math.max(ahead(job, w) * pools.get(w.kind + 1).waits.factor(), Outliers.waited(w, now));
+    }
+
+    private double ahead(Job job, Worker w) {
         return Math.max(0, -spare(job, w)) * runs.value / Math.max(1, pools.get(w.kind + 1).slots);
     }
 
@@ -428,7 +433,8 @@
             if (now - w.answeredAt <= DELTA && usable(job, w)) {
                 double room = spare(job, w);
                 // Crossing zones costs: another zone's room counts only when the own zone has none.
-                double rank = room >= 0 ? room + (w.near ? 1000 : 500) : room + (w.near ? 0.5 : 0);
+                double rank = room >= 0 ? room + (w.near ? 1000 : 500)
+                        : room + (w.near ? 0.5 : 0);
                 // Danger: a full worker answers fast and looks less busy than one with a queue. It is last.
                 rank -= wasFull(job, w) ? 2000 : 0;
                 // Danger: a slowed worker with room takes jobs that will be late. Which ones, they tell;
@@ -521,7 +527,7 @@
             awayTokens = Math.min(awayTokens + (roomAtHome ? AWAY : -1), 2);
         }
         a.roomy = roomy || pace[job.index].value == 0;
-        a.foretold = a.roomy ? 0 : wait(job, w);
+        a.foretold = a.roomy ? 0 : ahead(job, w);
         if (w.out.isEmpty()) {
             w.signAt = now;
         }
@@ -636,7 +642,7 @@
         for (Worker w : workers.values()) {
             for (Attempt a : List.copyOf(w.out)) {
                 if (Outliers.lost(a, now, settings.progress())) {
-                    outliers.lose(a);
+                    outliers.lose(a, now);
                     rescue(a);
                 } else if (Outliers.overdue(a, now)) {
                     hedge(a);
@@ -666,11 +672,21 @@
             int before = a.job.attempts.size();
             again(a.job);
             a.rescued = a.job.attempts.size() > before;
-        } else if (settings.limits().cancel() && a.job.kind.repeat() == Repeat.RETRYABLE) {
+        } else if (settings.limits().cancel() && (a.job.kind.repeat() == Repeat.RETRYABLE || goesOn(a.job))) {
             act(new Cancel(a.job.arrival.id(), a.number));
         }
     }
 
+    /**
+     * Whether a keyed job that may have run can go out once more now: danger, called off without it, it could
+     * only fail.
+     */
+    private boolean goesOn(Job job) {
+        return job.attempts.size() < settings.limits().attempts()
+                && now - job.firstThatMayHaveRun().sentAt <= job.kind.window()
+                && pools.get(job.kind.kind() + 1).ready.stream().anyMatch(w -> usable(job, w));
+    }
+
     // Cold workers
 
     /** Every Δ: what a warm worker of each kind carries for this dispatcher, by the jobs that it finished. */
--- a/src/main/java/nettlewick/decision/State.java
+++ b/src/main/java/nettlewick/decision/State.java
@@ -47,8 +47,9 @@
         long startedSent = NEVER;
         /** How much longer than hinted its jobs run: the logarithm's mean over the last few. */
         final Mean drag = new Mean(6);
-        /** Connections to it that broke in a row. */
+        /** Connections to it that broke in a row, and attempts that were lost with no sign of life since. */
         int failures;
+        int lostInARow;
         long shunnedUntil = NEVER;
         double coldTokens;
         long coldAt;
@@ -65,6 +66,7 @@
             shunnedUntil = NEVER;
             strikes = 0;
             failures = 0;
+            lostInARow = 0;
             startedSent = NEVER;
             drag.count = 0;
         }
--- a/src/main/java/nettlewick/net/Node.java
+++ b/src/main/java/nettlewick/net/Node.java
@@ -12,6 +12,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import nettlewick.admin.AdminFront;
@@ -21,6 +22,7 @@
 import nettlewick.core.Core;
 import nettlewick.core.Figures;
 import nettlewick.decision.Dispatcher.JobClass;
+import nettlewick.decision.Dispatcher.Settings;
 import nettlewick.log.Part;
 
 /** One real dispatcher: puts core, subchannels, resolver watch, peers and the platform's front together. */
@@ -43,7 +45,13 @@
     /** How long a successor waits for discovery's first word; after that the list it was given counts. */
     private static final long TOLD = 1000;
     /** How often it is looked whether another process shares the limits. */
-    private static final long SHARE = 500;
+    private static final long SHARE = 250;
+    /**
+     * A successor takes clients, and says so, this long after its start at the latest, while its predecessor
+     * finishes long jobs: 6 s are allowed.
+     */
+    private static final long HEIR = 4000;
+    private static final long SAVED = 100;
     /** How often it is looked whether another process was called to take a sim runner out. */
     private static final long BANS = 200;
     /** One descriptor in so many is for clients. */
@@ -62,6 +70,8 @@
     private final int perFront;
     private final AcceptGate gate;
     private final Context loop;
+    /** When the process that is to succeed this one started; NaN: none is. */
+    private double heirAt = Double.NaN;
     private PeerSocket peers;
     private Books books = Books.NONE;
     private Core core;
@@ -128,7 +138,7 @@
             bans.news().forEach(this::heed);
             vertx.setPeriodic(BANS, id -> bans.news().forEach(this::heed));
             Promise<Void> told = Promise.promise();
-            watch = new ResolverWatch(vertx, config.discovery(), clock, news -> {
+            watch = new ResolverWatch(vertx, config.discovery(), clock, askPause(heir), news -> {
                 subchannels.update(news);
                 holdsList = true;
                 if (news != config.known()) {
@@ -183,7 +193,58 @@
         Front own = new PlatformFront(new Front.Base(vertx, loop, config.atFreePort(), clock, core,
                 () -> true, state, perFront));
         return own.listen().compose(this::warmUp).compose(v -> own.shut(0)).compose(v -> told)
-                .compose(v -> listen()).mapEmpty();
+                .compose(v -> spared()).compose(v -> listen()).mapEmpty();
+    }
+
+    /** Done once the predecessor has nothing left that waiting saves, or at the latest time for a yes. */
+    private Future<Void> spared() {
+        Promise<Void> done = Promise.promise();
+        awaitSpared(done);
+        return done.future();
+    }
+
+    private void awaitSpared(Promise<Void> done) {
+        if (clock.now() >= succession.startedAt() + HEIR || !succession.awaited()) {
+            done.complete();
+        } else {
+            vertx.setTimer(SAVED, id -> awaitSpared(done));
+        }
+    }
+
+    /** Looks whether another process is to succeed this one, and tells it when nothing is left to save. */
+    private void foresee() {
+        double heir = state.leaving() ? Double.NaN : succession.heir();
+        if (!Double.isNaN(heir) && heirAt != heir) {
+            heirAt = heir;
+            core.foresee(heir + HEIR, heir + HEIR + killSpan());
+            LOG.info("awaits-successor", "another process is to succeed this one; long jobs are held back");
+            spare();
+        } else if (Double.isNaN(heir) && !Double.isNaN(heirAt) && !state.leaving()
+                && !succession.successor()) {
+            heirAt = Double.NaN;
+            core.stay();
+        }
+    }
+
+    private void spare() {
+        core.saves(killSpan(), saves -> loop.runOnContext(v -> {
+            if (!saves) {
+                // From now on the successor may take clients at any time.
+                core.foresee(heirAt + HEIR, clock.now() + killSpan());
+                succession.spared();
+            } else {
+                vertx.setTimer(SAVED, id -> spare());
+            }
+        }));
+    }
+
+    /** From SIGTERM to SIGKILL at the least, in milliseconds. */
+    private long killSpan() {
+        return Math.min(longest(), LONGEST) + KILL;
+    }
+
+    private long longest() {
+        return config.settings().classes().stream().mapToLong(JobClass::deadline).max().orElse(0) / 1_000_000;
     }
 
     private Future<CompositeFuture> listen() {
@@ -201,6 +262,7 @@
 
     /** Danger: two processes with all descriptors each would hold more than the dispatcher may. */
     private void share() {
+        foresee();
         boolean shared = succession.shared();
         subchannels.share(shared);
         gate.bound(shared ? clients / 2 : clients);
@@ -214,6 +276,12 @@
         return heir ? config.seed() ^ ProcessHandle.current().pid() * 0x9e3779b97f4a7c15L : config.seed();
     }
 
+    private AskPause askPause(boolean heir) {
+        Settings s = config.settings();
+        return new AskPause(s.listOnRequest(), s.fleetSize(), s.rules().askWithin() / 1e6,
+                new SplittableRandom(~seed(heir)));
+    }
+
     private Future<Void> listenAdmin() {
         if (admin == null) {
             return Future.succeededFuture();
@@ -311,11 +379,11 @@
                 ? "handing over to the process that succeeds this one" : "shutting down");
         CountDownLatch done = new CountDownLatch(1);
         double began = clock.now();
-        long longest = config.settings().classes().stream().mapToLong(JobClass::deadline).max().orElse(0)
-                / 1_000_000;
-        long kill = Math.min(longest, LONGEST) + KILL;
+        long longest = longest();
+        long kill = killSpan();
         loop.runOnContext(v -> {
             state.end(successor);
+            core.part(began + kill);
             if (successor) {
                 gate.closeEmptied();
                 peers.close();
--- a/src/main/java/nettlewick/net/ResolverWatch.java
+++ b/src/main/java/nettlewick/net/ResolverWatch.java
@@ -12,7 +12,6 @@
 import io.vertx.core.net.SocketAddress;
 import io.vertx.core.parsetools.RecordParser;
 import java.nio.charset.StandardCharsets;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Consumer;
 import nettlewick.core.Clock;
 import nettlewick.log.Part;
@@ -20,16 +19,8 @@
 /** The standing watch on discovery: resumed where it broke, with growing pauses. Lives on the event loop. */
 final class ResolverWatch {
     private static final Part LOG = Part.of("resolver");
-    /** Discovery writes an empty line every 2 s; a watch silent for longer than two of them is broken. */
-    private static final double SILENCE = 5000;
-    /** The agent answers at once: a watch without a first line for so long is broken. */
-    private static final double FIRST_SILENCE = 1500;
     private static final long CHECK = 500;
     private static final int CONNECT_TIMEOUT = 1000;
-    private static final long PAUSE_LEAST = 100;
-    private static final long PAUSE_MOST = 2000;
-    /** The same at an address that has not answered yet: after a move nothing is told until it does. */
-    private static final long NEW_PAUSE_MOST = 400;
     private static final int LINE_MOST = 4 << 20;
 
     private final Vertx vertx;
@@ -40,14 +31,15 @@
     /** Version of the list as this address counts; below 0 before its first word. */
     private long seq = -1;
     private boolean heard;
-    private long pause = PAUSE_LEAST;
+    private final AskPause pause;
     private int round;
     private boolean stopped;
     private double heardAt;
     private HttpClientConnection connection;
 
-    ResolverWatch(Vertx vertx, SocketAddress discovery, Clock clock,
+    ResolverWatch(Vertx vertx, SocketAddress discovery, Clock clock, AskPause pause,
             Consumer<ResolverResult> sink) {
+        this.pause = pause;
         this.vertx = vertx;
         client = vertx.createHttpClient(new HttpClientOptions().setConnectTimeout(CONNECT_TIMEOUT));
         this.discovery = discovery;
@@ -62,7 +54,7 @@
             sink.accept(known);
         }
         vertx.setPeriodic(CHECK, id -> {
-            if (connection != null && clock.now() - heardAt > (heard ? SILENCE : FIRST_SILENCE)) {
+            if (connection != null && clock.now() - heardAt > (heard ? AskPause.SILENCE : pause.first())) {
                 broken(round, "silent");
             }
         });
@@ -123,7 +115,7 @@
         }
         try {
             ResolverResult news = ResolverResult.of(Fields.parse("the list", text));
-            pause = PAUSE_LEAST;
+            pause.reset();
             if (!news.faults().isEmpty()) {
                 LOG.warning("entries-left-out", news.faults().size() + " entries left out: " + news.faults()
                         .get(0).getMessage());
@@ -148,7 +140,7 @@
         }
         discovery = to;
         seq = -1;
-        pause = PAUSE_LEAST;
+        pause.reset();
         round++;
         if (connection != null) {
             connection.close();
@@ -169,16 +161,15 @@
             return;
         }
         round++;
-        LOG.info("watch-broken", "watch broken: " + why + "; again in " + pause + " ms", "why", why,
-                "pause_ms", pause);
         if (connection != null) {
             connection.close();
             connection = null;
         }
-        long wait = pause / 2 + ThreadLocalRandom.current().nextLong(pause / 2 + 1);
-        pause = Math.min(seq < 0 ? NEW_PAUSE_MOST : PAUSE_MOST, 2 * pause);
+        long wait = (long) Math.ceil(pause.next(seq < 0));
+        LOG.info("watch-broken", "watch broken: " + why + "; again in " + wait + " ms", "why", why,
+                "pause_ms", wait);
         int last = round;
-        vertx.setTimer(Math.max(1, wait), id -> {
+        vertx.setTimer(wait, id -> {
             if (last == round) {
                 connect();
             }
--- a/src/main/java/nettlewick/net/Succession.java
+++ b/src/main/java/nettlewick/net/Succession.java
@@ -22,6 +22,7 @@
  */
 public final class Succession implements AutoCloseable {
     private static final String END = ".alive";
+    private static final byte[] SPARED = "nothing to save\n".getBytes(StandardCharsets.US_ASCII);
     private static final byte[] TAKES = "takes clients\n".getBytes(StandardCharsets.US_ASCII);
 
     private final Path folder;
@@ -30,7 +31,7 @@
     private final FileChannel channel;
 
     /** A process that lives beside this one. */
-    private record Other(String name, boolean takesClients) {
+    private record Other(String name, boolean takesClients, boolean spared) {
     }
 
     /**
@@ -68,6 +69,43 @@
         }
     }
 
+    /** This process has no work in hand that a successor would save by waiting. */
+    public void spared() {
+        try {
+            channel.write(ByteBuffer.wrap(SPARED), TAKES.length);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** Whether a process that started earlier takes clients and has work in hand that waiting may save. */
+    public boolean awaited() {
+        return others().stream().anyMatch(o -> o.takesClients() && !o.spared()
+                && o.name().compareTo(own) < 0);
+    }
+
+    /**
+     * When the latest process that is to succeed this one, and does not take clients yet, started: Unix time
+     * in milliseconds, NaN if there is none.
+     */
+    public double heir() {
+        return others().stream().filter(o -> !o.takesClients() && o.name().compareTo(own) > 0)
+                .mapToDouble(o -> startedAt(o.name())).max().orElse(Double.NaN);
+    }
+
+    /** When this process started, as it was told. */
+    public double startedAt() {
+        return startedAt(own);
+    }
+
+    private double startedAt(String name) {
+        try {
+            return Double.parseDouble(name.substring(prefix.length(), name.indexOf('-', prefix.length())));
+        } catch (NumberFormatException | IndexOutOfBoundsException e) {
+            return Double.NaN;
+        }
+    }
+
     /** Whether another process of this dispatcher lives. */
     public boolean shared() {
         return !others().isEmpty();
@@ -96,7 +134,7 @@
     private static void look(Path file, String name, List<Other> living) throws IOException {
         try (FileChannel other = FileChannel.open(file, StandardOpenOption.READ, StandardOpenOption.WRITE)) {
             if (locked(other)) {
-                living.add(new Other(name, other.size() >= TAKES.length));
+                living.add(new Other(name, other.size() >= TAKES.length, other.size() > TAKES.length));
             } else {
                 Files.deleteIfExists(file);
             }
--- a/src/main/java/nettlewick/standins/StandIns.java
+++ b/src/main/java/nettlewick/standins/StandIns.java
@@ -33,6 +33,10 @@
     public volatile int runTime = 30;
     /** What a runner does with a job in place of running it; null to run it. */
     public volatile Consumer<HttpServerRequest> instead;
+    /** Runners that take jobs and probes and answer none. */
+    public final Set<String> hung = ConcurrentHashMap.newKeySet();
+    /** What discovery does with a watch in place of answering it; null to answer. */
+    public volatile Consumer<HttpServerRequest> discoveryInstead;
     /** Whether runners reset a connection at its second request, once that has come whole. */
     public volatile boolean resetKept;
     public final AtomicInteger resets = new AtomicInteger();
@@ -62,6 +66,11 @@
 
     private synchronized void watch(HttpServerRequest request) {
         watches.add(request.uri());
+        Consumer<HttpServerRequest> other = discoveryInstead;
+        if (other != null) {
+            other.accept(request);
+            return;
+        }
         watchers.add(request.response().setChunked(true));
         request.response().write(list(true, hosts.values()));
     }
@@ -119,6 +128,9 @@
             return;
         }
         if (request.method() == HttpMethod.GET) {
+            if (hung.contains(name)) {
+                return;
+            }
             request.response().end("depth=0,concurrent=0,x0=4,x1=4");
             return;
         }
@@ -131,14 +143,18 @@
                 other.accept(request);
                 return;
             }
+            if (hung.contains(name)) {
+                return;
+            }
             runs.computeIfAbsent(id, i -> new AtomicInteger()).incrementAndGet();
+            int time = timeOf(body.toString());
             HttpServerResponse response = request.response().setChunked(true);
             response.exceptionHandler(e -> { });
             response.write(line(id, name, "started\"}"));
-            after(runTime / 2, () -> {
+            after(time / 2, () -> {
                 if (!response.closed()) {
                     response.write(line(id, name, "running\",\"share\":0.5}"));
-                    after(runTime / 2, () -> {
+                    after(time / 2, () -> {
                         if (!response.closed()) {
                             response.end(line(id, name, "done\",\"result\":\"r-" + id + "\"}"));
                         }
@@ -148,6 +164,11 @@
         });
     }
 
+    /** A body that is a number is the time that the job runs for, in milliseconds. */
+    private int timeOf(String body) {
+        return body.matches("[0-9]{1,6}") ? Integer.parseInt(body) : runTime;
+    }
+
     private void after(int millis, Runnable task) {
         vertx.setTimer(Math.max(1, millis), t -> task.run());
     }
@@ -177,6 +198,11 @@
                 "127.0.0.1:" + discovery.actualPort(), "seed", "8c1f30d27a5be964", "settings", settings));
     }
 
+    /** The list as it is, in discovery's form: what a dispatcher may have known before it started. */
+    public synchronized Object known() {
+        return new com.google.gson.Gson().fromJson(list(true, hosts.values()), Map.class);
+    }
+
     /** Whether any runner was told of. */
     protected synchronized boolean hasRunners() {
         return !hosts.isEmpty();
--- a/src/test/java/nettlewick/core/CoreTest.java
+++ b/src/test/java/nettlewick/core/CoreTest.java
@@ -85,8 +85,12 @@
     }
 
     private Request request(String id, double deadline) {
+        return request(id, deadline, 1.5);
+    }
+
+    private Request request(String id, double deadline, double hint) {
         Request[] made = new Request[1];
-        made[0] = new Request(id, "c", null, null, START + deadline, 1, 0, 1.5, false, null,
+        made[0] = new Request(id, "c", null, null, START + deadline, 1, 0, hint, false, null,
                 new Request.Caller() {
             @Override
             public void served(byte[] result) {
@@ -107,6 +111,66 @@
         return made[0];
     }
 
+    /** Guards against long jobs lost with a process that is succeeded: see PartingTest for which. */
+    @Test
+    void whatWouldOutliveThisProcessIsHeldAndGivenBackUnsent() throws InterruptedException {
+        script = e -> e instanceof Arrival a ? List.of(new Dispatch(a.id(), "w", 0)) : List.of();
+        core.foresee(START + 4000, START + 7700);
+        request("long", 60_000, 9000);
+        request("gone", 60_000, 9000);
+        at(1000);
+        assertTrue(sent.isEmpty(), out.toString());
+        core.part(START + 5000);
+        at(1300);
+        request("after", 60_000, 9000);
+        at(1400);
+        assertEquals(List.of("refused long 0.0", "refused gone 0.0", "refused after 0.0"), out);
+        request("short", 60_000, 900);
+        at(1500);
+        assertEquals("send short0", out.get(out.size() - 1));
+        assertTrue(events.stream().noneMatch(e -> e instanceof Arrival a && !a.id().equals("short")));
+    }
+
+    /** Guards against a job that is held for good, or handed on after its client has gone. */
+    @Test
+    void whatIsHeldGoesOnIfTheEndDoesNotCome() throws InterruptedException {
+        script = e -> e instanceof Arrival a ? List.of(new Dispatch(a.id(), "w", 0)) : List.of();
+        core.foresee(START + 4000, START + 7700);
+        request("late", 60_000, 9000);
+        Request left = request("left", 60_000, 9000);
+        at(10);
+        core.abandon(left);
+        at(4999);
+        assertTrue(sent.isEmpty());
+        at(5000);
+        assertEquals(List.of("send late0"), out);
+        core.foresee(START + 8000, START + 11_700);
+        request("next", 60_000, 9000);
+        at(5010);
+        core.stay();
+        at(5020);
+        assertEquals(List.of("send late0", "send next0"), out);
+    }
+
+    /** A successor is made to wait for what ends only if it does, and for nothing else. */
+    @Test
+    void whetherWaitingSavesAJobIsToldByItsProgress() throws InterruptedException {
+        script = e -> e instanceof Arrival a ? List.of(new Dispatch(a.id(), "w", 0)) : List.of();
+        List<Boolean> saves = new ArrayList<>();
+        request("job", 60_000, 4000);
+        at(0);
+        core.foresee(START + 4000, START + 7700);
+        core.saves(3700, saves::add);
+        at(1);
+        core.progress(sent.get(0), 0);
+        at(2);
+        core.progress(sent.get(0), 0.8);
+        at(1000);
+        core.saves(3700, saves::add);
+        at(1001);
+        assertEquals(List.of(true, false), saves);
+    }
+
     /** A core whose books only note, and let answers go when the test says so. */
     private List<Books.Job> kept(List<java.util.function.Consumer<Books.Receipt>> waiting, double patience)
             throws InterruptedException {
--- a/src/test/java/nettlewick/decision/RollTest.java
+++ b/src/test/java/nettlewick/decision/RollTest.java
@@ -81,6 +81,8 @@
                     Samples.answer("w1", 4, 0), Samples.arrival("j" + i, "read", "red")));
             assertTrue(actions.stream().noneMatch(a -> a instanceof Dispatch d && d.worker().equals("w0")
                     || a instanceof Probe p && p.worker().equals("w0")), actions.toString());
+            Samples.only(Dispatch.class, actions).forEach(d -> module.handle(1, List.of(
+                    Samples.outcome(d, 0, Result.SERVED))));
         }
         assertEquals(new Rotation(2, 1), module.rotation());
     }
--- a/src/test/java/nettlewick/decision/SecondSiteTest.java
+++ b/src/test/java/nettlewick/decision/SecondSiteTest.java
@@ -25,6 +25,7 @@
     private final Logic logic = new Logic(new Settings(0, 1, "north",
             List.of(jobClass("light", Repeat.RETRYABLE, 400 * MS, 1.75, 3),
                     jobClass("heavy", Repeat.RETRYABLE, 1500 * MS, 2.5, 5),
+                    jobClass("dues", Repeat.DEDUP, 1500 * MS, 2.5, 5),
                     jobClass("transfer", Repeat.FRAGILE, 1500 * MS, 1.75, 10)),
             List.of(new Tenant("red", 1, 10)), List.of("box"), false, false, Reports.ON_PROBE, SECOND,
             new Limits(5, true, true, true, true, false, 2 * SECOND),
@@ -107,6 +108,26 @@
         assertEquals("w1", sentTo(actions));
     }
 
+    /** Guards against a keyed job that waits for its client at a silent runner though its zone has others. */
+    @Test
+    void aKeyedJobThatIsLostGoesOnWithinItsZoneAndAnUnsafeOneNever() {
+        list("north", "north", "south");
+        for (String jobClass : List.of("dues", "transfer")) {
+            at(now, report("w0", 4, 4), report("w1", 0, 4), report("w2", 4, 4));
+            String first = sentTo(at(now, job(jobClass, jobClass, SECOND, 1, 0.1)));
+            assertEquals("w0", first);
+            at(now + MS, new Progress(jobClass, 0, first, 0));
+            List<Action> actions = at(now + 2500 * MS, report("w1", 4, 4), report("w2", 4, 4), new Timer("beat"));
+            List<Cancel> off = Samples.only(Cancel.class, actions);
+            assertEquals(jobClass.equals("dues") ? 1 : 0, off.size(), actions.toString());
+            if (!off.isEmpty()) {
+                actions = at(now, new Outcome(jobClass, 0, first, Result.CANCELLED, SECOND, false, null));
+                assertEquals("w1", sentTo(actions), "its zone alone knows its key");
+            }
+            now += 10 * SECOND;
+        }
+    }
+
     /** Guards against waits foretold too short, time after time, at what reports do not show. */
     @Test
     void aForetoldWaitIsCorrectedByWhatWasWaited() {
--- a/src/test/java/nettlewick/net/SuccessionTest.java
+++ b/src/test/java/nettlewick/net/SuccessionTest.java
@@ -36,7 +36,12 @@
             assertTrue(old.shared() && heir.shared());
             old.takesClients();
             assertFalse(old.successor() || heir.successor());
+            assertEquals(11, old.heir());
+            assertTrue(Double.isNaN(heir.heir()) && heir.awaited() && !old.awaited());
+            old.spared();
+            assertFalse(heir.awaited(), "nothing is left to save");
             heir.takesClients();
+            assertTrue(Double.isNaN(old.heir()));
             assertTrue(old.successor());
             assertFalse(heir.successor());
             heir.close();
