Probes for each arrival follow from their price, the work they take and what stale reports cost

Need: 3 probes an arrival was a constant that fitted one site. Test: SecondSiteTest.probesGoByTheirPriceAndTheWorkTheyTake.

--- a/src/main/java/nettlewick/decision/Logic.java
+++ b/src/main/java/nettlewick/decision/Logic.java
@@ -33,8 +33,6 @@
     private static final int POOL_MOST = 24;
     /** And so many times the workers that its own traffic keeps busy. */
     private static final double POOL_BUSY = 2.5;
-    /** Probes for each arrival. */
-    private static final double PROBES_PER_ARRIVAL = 3;
     /** A friend asks after this many silent Δ and inherits after twice as many. */
     private static final int FRIEND_PATIENCE = 3;
     /** Slots by which a report's noise may be taken for work. */
@@ -75,6 +73,7 @@
     /** Danger: notes to all grow with the square of the tier. Past a small one, tallies at owners serve. */
     private final Tally tally;
     private final ColdStart coldStart;
+    private final Probing probing;
     private final Outliers outliers = new Outliers(() -> pools.get(0).ready);
     private final Mean[] pace;
     /** By kind, from -1 on: the most that a job bound to it is worth. */
@@ -83,6 +82,7 @@
     Logic(Settings settings, long seed) {
         this.settings = settings;
         coldStart = new ColdStart(settings.rules(), settings.fleetSize());
+        probing = new Probing(settings.prices().probe());
         random = new SplittableRandom(seed);
         epoch = random.nextInt();
         loads = new SharedLoads(heard);
@@ -225,7 +225,7 @@
         meanDensity.add(job.density());
         most.add(a);
         arrivals++;
-        probeTokens += PROBES_PER_ARRIVAL;
+        probeTokens += probing.perArrival(runs.value);
         jobs.put(a.id(), job);
         owed.add(job);
         if (!a.repeat()) {
@@ -735,6 +735,9 @@
         }
         w.asked = false;
         if (e.result() == Result.SERVED) {
+            if (w.near) {
+                probing.answered(e.latency());
+            }
             if (e.load() != null) {
                 report(w, e.load());
             }
--- a/src/test/java/nettlewick/decision/SecondSiteTest.java
+++ b/src/test/java/nettlewick/decision/SecondSiteTest.java
@@ -128,6 +128,21 @@
         }
     }
 
+    /** Guards against one site's number of probes: it follows from what a probe and a wrong choice cost. */
+    @Test
+    void probesGoByTheirPriceAndTheWorkTheyTake() {
+        assertEquals(3, new Probing(0).perArrival(SECOND), "free: as many as ever");
+        Probing dear = new Probing(0.033);
+        assertEquals(1, dear.perArrival(SECOND), 1e-9);
+        Probing work = new Probing(0.002);
+        assertEquals(3, work.perArrival(SECOND));
+        for (int i = 0; i < 50; i++) {
+            work.answered((i % 2 == 0 ? 5 : 40) * MS);
+        }
+        assertEquals(Math.sqrt(0.033 / 0.004), work.perArrival(2500 * MS), 0.02, "5 ms of 2.5 s, not the waiting");
+        assertEquals(Math.sqrt(0.033 / 0.052), work.perArrival(100 * MS), 0.02, "5 ms of 0.1 s");
+    }
+
     /** Guards against waits foretold too short, time after time, at what reports do not show. */
     @Test
     void aForetoldWaitIsCorrectedByWhatWasWaited() {
