--- a/src/main/java/nettlewick/decision/Dispatcher.java
+++ b/src/main/java/nettlewick/decision/Dispatcher.java
@@ -78,26 +78,10 @@
             double overloadFactor) {
     }
 
-    /**
-     * What the site takes off the result for what a dispatcher does: for probes, as a part of a mean job's
-     * worth (from the settings' {@code prices}).
-     */
-    record Prices(double probe) {
-        static final Prices NONE = new Prices(0);
-    }
-
     /** What one instance is told at its start. {@code rank} counts from 0 below {@code fleetSize}. */
     record Settings(int rank, int fleetSize, String zone, List<JobClass> classes, List<Tenant> tenants,
             List<String> kinds, boolean listOnRequest, boolean sizesFixed, Reports reports, long progress,
-            Limits limits, Rules rules, Prices prices) {
-        /** One of a site without prices. */
-        public Settings(int rank, int fleetSize, String zone, List<JobClass> classes, List<Tenant> tenants,
-                List<String> kinds, boolean listOnRequest, boolean sizesFixed, Reports reports, long progress,
-                Limits limits, Rules rules) {
-            this(rank, fleetSize, zone, classes, tenants, kinds, listOnRequest, sizesFixed, reports, progress,
-                    limits, rules, Prices.NONE);
-        }
-
+            Limits limits, Rules rules) {
         /** Copies the lists and rejects settings that make no sense, naming the setting and the value. */
         public Settings {
             check(fleetSize >= 1, "fleetSize", fleetSize);
@@ -109,7 +93,6 @@
             check(rules.cold() >= 0, "rules.cold", rules.cold());
             check(rules.fall() >= 0, "rules.fall", rules.fall());
             check(rules.overloadFactor() > 0, "rules.overloadFactor", rules.overloadFactor());
-            check(prices.probe() >= 0, "prices.probe", prices.probe());
             for (JobClass c : classes) {
                 check(c.kind() >= -1 && c.kind() < kinds.size(), "classes[" + c.name() + "].kind", c.kind());
                 check(c.aim() > 0, "classes[" + c.name() + "].aim", c.aim());
--- a/src/main/java/nettlewick/decision/Logic.java
+++ b/src/main/java/nettlewick/decision/Logic.java
@@ -33,6 +33,8 @@
     private static final int POOL_MOST = 24;
     /** And so many times the workers that its own traffic keeps busy. */
     private static final double POOL_BUSY = 2.5;
+    /** Probes for each arrival. */
+    private static final double PROBES_PER_ARRIVAL = 3;
     /** A friend asks after this many silent Δ and inherits after twice as many. */
     private static final int FRIEND_PATIENCE = 3;
     /** Slots by which a report's noise may be taken for work. */
@@ -73,7 +75,6 @@
     /** Danger: notes to all grow with the square of the tier. Past a small one, tallies at owners serve. */
     private final Tally tally;
     private final ColdStart coldStart;
-    private final Probing probing;
     private final Outliers outliers = new Outliers(() -> pools.get(0).ready);
     private final Mean[] pace;
     /** By kind, from -1 on: the most that a job bound to it is worth. */
@@ -82,7 +83,6 @@
     Logic(Settings settings, long seed) {
         this.settings = settings;
         coldStart = new ColdStart(settings.rules(), settings.fleetSize());
-        probing = new Probing(settings.prices().probe());
         random = new SplittableRandom(seed);
         epoch = random.nextInt();
         loads = new SharedLoads(heard);
@@ -225,7 +225,7 @@
         meanDensity.add(job.density());
         most.add(a);
         arrivals++;
-        probeTokens += probing.perArrival(runs.value);
+        probeTokens += PROBES_PER_ARRIVAL;
         jobs.put(a.id(), job);
         owed.add(job);
         if (!a.repeat()) {
@@ -642,13 +642,13 @@
         for (Worker w : workers.values()) {
             for (Attempt a : List.copyOf(w.out)) {
                 if (Outliers.lost(a, now, settings.progress())) {
-                    outliers.lose(a, now);
+                    outliers.lose(a);
                     rescue(a);
                 } else if (Outliers.overdue(a, now)) {
                     hedge(a);
                 }
             }
-            if (now >= w.shunnedUntil && Outliers.silent(w, now, pace, BEAT, settings.progress())) {
+            if (now >= w.shunnedUntil && Outliers.silent(w, now, pace, BEAT)) {
                 outliers.shun(w, now);
                 List.copyOf(w.out).forEach(this::rescue);
             }
@@ -672,21 +672,11 @@
             int before = a.job.attempts.size();
             again(a.job);
             a.rescued = a.job.attempts.size() > before;
-        } else if (settings.limits().cancel() && (a.job.kind.repeat() == Repeat.RETRYABLE || goesOn(a.job))) {
+        } else if (settings.limits().cancel() && a.job.kind.repeat() == Repeat.RETRYABLE) {
             act(new Cancel(a.job.arrival.id(), a.number));
         }
     }
 
-    /**
-     * Whether a keyed job that may have run can go out once more now: danger, called off without it, it could
-     * only fail.
-     */
-    private boolean goesOn(Job job) {
-        return job.attempts.size() < settings.limits().attempts()
-                && now - job.firstThatMayHaveRun().sentAt <= job.kind.window()
-                && pools.get(job.kind.kind() + 1).ready.stream().anyMatch(w -> usable(job, w));
-    }
-
     // Cold workers
 
     /** Every Δ: what a warm worker of each kind carries for this dispatcher, by the jobs that it finished. */
@@ -735,9 +725,6 @@
         }
         w.asked = false;
         if (e.result() == Result.SERVED) {
-            if (w.near) {
-                probing.answered(e.latency());
-            }
             if (e.load() != null) {
                 report(w, e.load());
             }
--- a/src/main/java/nettlewick/decision/Outliers.java
+++ b/src/main/java/nettlewick/decision/Outliers.java
@@ -43,13 +43,10 @@
     private int copies;
     /** Share of connections that break, over the whole fleet. */
     private final Mean breaks = new Mean(100);
-    /** Share of attempts that are lost, likewise. */
-    private final Mean losses = new Mean(100);
 
     Outliers(Supplier<List<Worker>> ready) {
         this.ready = ready;
         breaks.count = 50;
-        losses.count = 50;
     }
 
     /** Takes over how an attempt, or a probe that failed, ended at this worker. */
@@ -58,7 +55,6 @@
             case SERVED -> {
                 alive(w, now);
                 breaks.add(0);
-                losses.add(0);
                 w.shunnedUntil = Math.min(w.shunnedUntil, now);
             }
             case FULL -> {
@@ -70,7 +66,7 @@
             // Danger: connections break on the way, one here and one there, at workers that are well.
             case UNREACHABLE, BROKEN -> {
                 breaks.add(1);
-                if (++w.failures >= inARow(breaks) || result == Result.UNREACHABLE && latency > REFUSED) {
+                if (++w.failures >= inARow() || result == Result.UNREACHABLE && latency > REFUSED) {
                     shun(w, now);
                 }
             }
@@ -79,8 +75,8 @@
     }
 
     /** Danger: where a tenth of all connections break, two in a row soon befall every worker. */
-    private static double inARow(Mean faults) {
-        double share = Math.min(0.5, Math.max(0.001, faults.value));
+    private double inARow() {
+        double share = Math.min(0.5, Math.max(0.001, breaks.value));
         return Math.max(FAILURES, Math.ceil(Math.log(CHANCE) / Math.log(share)));
     }
 
@@ -89,7 +85,6 @@
         w.signAt = now;
         w.strikes = 0;
         w.failures = 0;
-        w.lostInARow = 0;
     }
 
     void shun(Worker w, long now) {
@@ -126,20 +121,10 @@
         return a.roomy && a.startedAt == State.NEVER && now - a.sentAt > START;
     }
 
-    /**
-     * An attempt is lost: its slot is free, as far as can be told. Danger: one that hangs swallows job after
-     * job, and each that is lost makes it look emptier. Two in a row with no sign of life between are its own
-     * fault, not a connection's.
-     */
-    void lose(Attempt a, long now) {
-        if (!a.lost) {
-            copies = Math.min(copies + COPIES, COPIES_MOST);
-            a.worker.lose(a);
-            losses.add(1);
-            if (++a.worker.lostInARow >= inARow(losses)) {
-                shun(a.worker, now);
-            }
-        }
+    /** An attempt is lost: its slot is free, as far as can be told. */
+    void lose(Attempt a) {
+        copies = Math.min(copies + (a.lost ? 0 : COPIES), COPIES_MOST);
+        a.worker.lose(a);
     }
 
     /** Danger: copies on suspicion multiply where all is slow. They are earned by what is surely lost. */
@@ -151,17 +136,13 @@
         copies -= sent ? 1 : 0;
     }
 
-    /**
-     * Whether a worker has been silent too long: in expected job times, summed over what is out there.
-     * Danger: jobs that run say nothing for {@code progress}; on a slow worker several short ones are silent
-     * together.
-     */
-    static boolean silent(Worker w, long now, Mean[] pace, long least, long progress) {
+    /** Whether a worker has been silent too long: in expected job times, summed over what is out there. */
+    static boolean silent(Worker w, long now, Mean[] pace, long least) {
         double silence = 0;
         for (Attempt a : w.out) {
             double expected = Math.max(pace[a.job.index].value, a.job.arrival.hint());
-            long silent = now - Math.max(a.sentAt, w.signAt) - (a.startedAt == State.NEVER ? 0 : progress);
-            silence += expected <= 0 || silent <= 0 ? 0 : silent / Math.max(expected, least);
+            long silent = now - Math.max(a.sentAt, w.signAt);
+            silence += expected <= 0 ? 0 : silent / Math.max(expected, least);
         }
         return silence > SILENCE;
     }
@@ -175,17 +156,16 @@
         }
     }
 
-    /** Whether it may be one that waits: where a fresh report proves that none does, it is lost instead. */
-    private static boolean waits(Attempt a, long now) {
-        return a.startedAt == State.NEVER && !a.lost
-                && !(a.worker.queueEmpty && now - a.worker.answeredAt <= SEEN);
+    /** Whether it may be one that waits, which only a report of the queue would tell better. */
+    private static boolean waits(Attempt a) {
+        return a.startedAt == State.NEVER && !a.lost && !a.worker.queueTold;
     }
 
     /** How long the own job that waits there longest has waited, in nanoseconds; 0 if none waits. */
     static long waited(Worker w, long now) {
         long longest = 0;
         for (Attempt a : w.out) {
-            longest = waits(a, now) ? Math.max(longest, now - a.sentAt) : longest;
+            longest = waits(a) ? Math.max(longest, now - a.sentAt) : longest;
         }
         return longest > START ? longest : 0;
     }
@@ -204,7 +184,7 @@
         double slots = 0;
         boolean blocked = false;
         for (Attempt a : w.out) {
-            boolean waits = waits(a, now);
+            boolean waits = waits(a);
             slots += waits ? a.job.arrival.slots() : 0;
             blocked |= waits && now - a.sentAt > START;
         }
@@ -214,6 +194,6 @@
     /** Danger: a worker whose time is over may be ill still. One harmless job is its probe, then more. */
     static boolean trusts(Worker w, Job job, long now) {
         return now >= w.shunnedUntil
-                && (w.strikes == 0 || w.outSlots < 1e-9 && job.kind.repeat() != Repeat.FRAGILE);
+                && (w.strikes == 0 || w.out.isEmpty() && job.kind.repeat() != Repeat.FRAGILE);
     }
 }
--- a/src/main/java/nettlewick/decision/State.java
+++ b/src/main/java/nettlewick/decision/State.java
@@ -30,6 +30,8 @@
         double memory;
         /** The last report proves that nothing waits. */
         boolean queueEmpty;
+        /** Its reports tell how many wait. */
+        boolean queueTold;
         /** Slots that are left but for what is known to be sent here, smoothed over reports. */
         double left;
         long leftAt = NEVER;
@@ -47,9 +49,8 @@
         long startedSent = NEVER;
         /** How much longer than hinted its jobs run: the logarithm's mean over the last few. */
         final Mean drag = new Mean(6);
-        /** Connections to it that broke in a row, and attempts that were lost with no sign of life since. */
+        /** Connections to it that broke in a row. */
         int failures;
-        int lostInARow;
         long shunnedUntil = NEVER;
         double coldTokens;
         long coldAt;
@@ -66,7 +67,6 @@
             shunnedUntil = NEVER;
             strikes = 0;
             failures = 0;
-            lostInARow = 0;
             startedSent = NEVER;
             drag.count = 0;
         }
@@ -90,6 +90,7 @@
             waiting = queue ? load.waiting() : free >= 1 ? 0 : Math.max(0, held - kind.slots);
             // Danger: a report without a queue says nothing of it. The first that waits may be a job that
             // does not fit while slots are free; only room for any job proves that none waits.
+            queueTold = queue;
             queueEmpty = queue ? waiting < 0.5 : free >= most.slots && memory >= most.memory;
         }
 
--- a/src/main/java/nettlewick/net/Config.java
+++ b/src/main/java/nettlewick/net/Config.java
@@ -132,8 +132,7 @@
                             r.wholeOr("ask_within", 1_000_000_000, 0, LONG_TIME),
                             r.wholeOr("cold", 0, 0, LONG_TIME), r.numberOr("cold_share", 1, 0, 1),
                             r.wholeOr("drain_grace", 0, 0, LONG_TIME), r.wholeOr("fall", 0, 0, LONG_TIME),
-                            r.numberOr("overload_factor", 1, 0, 1e9)),
-                    new Prices(f.partOr("prices").numberOr("probe", 0, 0, 1e9)));
+                            r.numberOr("overload_factor", 1, 0, 1e9)));
         } catch (IllegalArgumentException e) {
             throw new Fields.Bad("settings", e.getMessage(), "settings that make sense");
         }
--- a/src/main/java/nettlewick/sim/WireCodec.java
+++ b/src/main/java/nettlewick/sim/WireCodec.java
@@ -229,7 +229,6 @@
         f.listOr("models").forEach(model -> models.add(String.valueOf(model)));
         Fields limits = f.part("ceilings");
         Fields rules = f.part("rules");
-        Fields prices = f.partOr("prices");
         Fields report = f.partOr("report");
         String source = report == null ? "off" : report.textOr("source");
         String weights = f.textOr("weights");
@@ -245,8 +244,7 @@
                 new Dispatcher.Rules((long) rules.numberOr("answer_slack", 0),
                         (long) rules.numberOr("ask_within", NANOS), (long) rules.numberOr("cold", 0),
                         rules.numberOr("cold_share", 1), (long) rules.numberOr("drain_grace", 0),
-                        (long) rules.numberOr("fall", 0), rules.numberOr("overload_factor", 1)),
-                new Dispatcher.Prices(prices == null ? 0 : prices.numberOr("probe", 0)));
+                        (long) rules.numberOr("fall", 0), rules.numberOr("overload_factor", 1)));
     }
 
     private static Dispatcher.Repeat repeat(String word) {
--- a/src/test/java/nettlewick/decision/OutliersTest.java
+++ b/src/test/java/nettlewick/decision/OutliersTest.java
@@ -78,8 +78,8 @@
         w.queueEmpty = false;
         assertFalse(Outliers.lost(sent, 1501 * MS, 0), "it may be the one that waits");
         assertFalse(outliers.affordsCopy());
-        outliers.lose(sent, 0);
-        outliers.lose(sent, 0);
+        outliers.lose(sent);
+        outliers.lose(sent);
         assertEquals(0, w.outSlots);
         outliers.copied(true);
         assertTrue(outliers.affordsCopy());
@@ -110,27 +110,6 @@
         assertFalse(Outliers.lost(sent, 2000 * MS, 0), "one waits");
     }
 
-    /** Guards against a hung runner that looks emptier with each job it swallows, and is sent the next. */
-    @Test
-    void twoLostInARowAreTheRunnersOwnFault() {
-        Worker w = fleet.get(0);
-        Dispatcher.JobClass read = Samples.jobClass("read", Dispatcher.Repeat.RETRYABLE, Dispatcher.Scope.ALL, 1);
-        Job job = new Job(Samples.arrival("a", "read", "red"), read, 0, null, 0);
-        for (int i = 0; i < 3; i++) {
-            Attempt sent = new Attempt(job, w, i, 0);
-            w.sent(sent);
-            outliers.lose(sent, MS);
-            outliers.lose(sent, MS);
-            assertEquals(i == 2, out(0, 2 * MS), i + " lost");
-            if (i == 0) {
-                outliers.alive(w, MS);
-            }
-        }
-        assertTrue(Outliers.trusts(w, job, 5000 * MS), "its way back is one harmless job; what is lost is no work");
-        w.sent(new Attempt(job, w, 3, 0));
-        assertFalse(Outliers.trusts(w, job, 5000 * MS));
-    }
-
     @Test
     void whatShouldHaveStartedShowsInTime() {
         Attempt sent = new Attempt(null, fleet.get(0), 0, 0);
--- a/src/test/java/nettlewick/decision/SecondSiteTest.java
+++ b/src/test/java/nettlewick/decision/SecondSiteTest.java
@@ -108,41 +108,6 @@
         assertEquals("w1", sentTo(actions));
     }
 
-    /** Guards against a keyed job that waits for its client at a silent runner though its zone has others. */
-    @Test
-    void aKeyedJobThatIsLostGoesOnWithinItsZoneAndAnUnsafeOneNever() {
-        list("north", "north", "south");
-        for (String jobClass : List.of("dues", "transfer")) {
-            at(now, report("w0", 4, 4), report("w1", 0, 4), report("w2", 4, 4));
-            String first = sentTo(at(now, job(jobClass, jobClass, SECOND, 1, 0.1)));
-            assertEquals("w0", first);
-            at(now + MS, new Progress(jobClass, 0, first, 0));
-            List<Action> actions = at(now + 2500 * MS, report("w1", 4, 4), report("w2", 4, 4), new Timer("beat"));
-            List<Cancel> off = Samples.only(Cancel.class, actions);
-            assertEquals(jobClass.equals("dues") ? 1 : 0, off.size(), actions.toString());
-            if (!off.isEmpty()) {
-                actions = at(now, new Outcome(jobClass, 0, first, Result.CANCELLED, SECOND, false, null));
-                assertEquals("w1", sentTo(actions), "its zone alone knows its key");
-            }
-            now += 10 * SECOND;
-        }
-    }
-
-    /** Guards against one site's number of probes: it follows from what a probe and a wrong choice cost. */
-    @Test
-    void probesGoByTheirPriceAndTheWorkTheyTake() {
-        assertEquals(3, new Probing(0).perArrival(SECOND), "free: as many as ever");
-        Probing dear = new Probing(0.033);
-        assertEquals(1, dear.perArrival(SECOND), 1e-9);
-        Probing work = new Probing(0.002);
-        assertEquals(3, work.perArrival(SECOND));
-        for (int i = 0; i < 50; i++) {
-            work.answered((i % 2 == 0 ? 5 : 40) * MS);
-        }
-        assertEquals(Math.sqrt(0.033 / 0.004), work.perArrival(2500 * MS), 0.02, "5 ms of 2.5 s, not the waiting");
-        assertEquals(Math.sqrt(0.033 / 0.052), work.perArrival(100 * MS), 0.02, "5 ms of 0.1 s");
-    }
-
     /** A heavy tail in one class: a job of 23 times its hint that shows progress is neither lost nor a fault. */
     @Test
     void aJobOfManyTimesItsHintIsLeftToRun() {
