--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # build, test, lint and run; `make run` wants ROUTER_CONFIG and its like, as the platform sets them.
-.PHONY: build test lint run edge demo measure-ledger measure-fleet clean
+.PHONY: build test lint run edge demo measure-ledger measure-fleet measure-spread clean
 
 build:
 	mvn -q -DskipTests package
@@ -36,5 +36,11 @@
 	mvn -q -DskipTests test-compile
 	java -XX:+UseSerialGC -Xmx4g -cp target/test-classes:target/classes nettlewick.decision.MeasureFleet
 
+# How evenly hundreds of real processes spread load; up to 10 minutes, wants all cores and 20 GB.
+measure-spread: build
+	mvn -q -DskipTests test-compile dependency:build-classpath -Dmdep.outputFile=target/classpath
+	java -XX:+UseSerialGC -Xmx2g -cp target/nettlewick.jar:target/test-classes:$$(cat target/classpath) \
+		nettlewick.lab.MeasureSpread
+
 clean:
 	mvn -q clean
--- /dev/null
+++ b/src/main/java/nettlewick/cli/LabCommand.java
@@ -0,0 +1,61 @@
+package nettlewick.cli;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import java.io.IOException;
+import java.nio.file.InvalidPathException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import nettlewick.lab.Lab;
+import nettlewick.settings.BadSettings;
+
+@Parameters(commandNames = "lab", commandDescription = "check FILE, run FILE (a fleet of real processes with"
+        + " faults between them), or compare FOLDER FOLDER")
+final class LabCommand implements Command {
+    @Parameter(description = "check FILE | run FILE | compare FOLDER FOLDER", required = true)
+    private List<String> words = new ArrayList<>();
+
+    @Parameter(names = "--out", description = "Folder for what a run leaves")
+    private String out = "lab-run";
+
+    @Override
+    public int run() {
+        String what = words.get(0);
+        boolean two = what.equals("compare");
+        if (!List.of("check", "run", "compare").contains(what) || words.size() != (two ? 3 : 2)) {
+            throw new Misuse(Main.MISUSED, "lab: expected check FILE, run FILE or compare FOLDER FOLDER, got "
+                    + String.join(" ", words));
+        }
+        try {
+            Path first = Path.of(words.get(1));
+            if (two) {
+                Lab.compare(first, Path.of(words.get(2)), System.out);
+                return 0;
+            }
+            if (what.equals("check")) {
+                System.out.println(Lab.check(first));
+                return 0;
+            }
+            return Lab.run(first, Path.of(out), this::progress, this::figure) ? 0 : Main.FAILED;
+        } catch (BadSettings | InvalidPathException e) {
+            throw new Misuse(Main.MISUSED, e.getMessage());
+        } catch (IOException e) {
+            throw new Misuse(Main.FAILED, "lab: " + e.getMessage());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return Main.FAILED;
+        } catch (Exception e) {
+            throw new Misuse(Main.FAILED, "lab: " + e);
+        }
+    }
+
+    private void progress(String line) {
+        System.err.print("\r" + line + "\u001b[K");
+    }
+
+    private void figure(String line) {
+        System.err.print("\r\u001b[K");
+        System.out.println(line);
+    }
+}
--- a/src/main/java/nettlewick/cli/Main.java
+++ b/src/main/java/nettlewick/cli/Main.java
@@ -11,7 +11,7 @@
     /** Exit code for a command line or a configuration that is not in order. */
     static final int MISUSED = 2;
     private static final List<String> NAMES = List.of("serve", "drill", "replay", "demo", "ledger",
-            "settings", "version", "warm");
+            "settings", "lab", "version", "warm");
 
     private Main() {
     }
@@ -37,6 +37,7 @@
             case "demo" -> new Demo();
             case "ledger" -> new LedgerCommand();
             case "settings" -> new SettingsCommand();
+            case "lab" -> new LabCommand();
             case "version" -> new Version();
             default -> new Warm();
         };
--- /dev/null
+++ b/src/main/java/nettlewick/lab/Audit.java
@@ -0,0 +1,195 @@
+package nettlewick.lab;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import nettlewick.standins.RunnerModel;
+
+/**
+ * The rules, checked on every job as it runs. A break names the rule, the job and the time, with all that
+ * happened to the job. Pure; called from several threads; times in milliseconds of the lab's clock.
+ */
+final class Audit {
+    /** Past the deadline, for an answer that this machine is slow to bring. */
+    static final double SPARE = 1000;
+    /** Between a send and its arrival, on a busy machine and a delayed link. */
+    static final double WAY = 250;
+
+    /** A job as a client asks for it: one of its tries, with the id that goes with it. */
+    private static final class Job {
+        final String key;
+        final Scenario.JobClass jobClass;
+        final int dispatcher;
+        final double askedAt;
+        final List<String> history = new ArrayList<>(6);
+        int sends;
+        int runs;
+        boolean answered;
+
+        Job(String key, Scenario.JobClass jobClass, int dispatcher, double askedAt) {
+            this.key = key;
+            this.jobClass = jobClass;
+            this.dispatcher = dispatcher;
+            this.askedAt = askedAt;
+        }
+    }
+
+    /** All runs of one key: where and when the first send arrived. */
+    private record First(double at, String zone) {
+    }
+
+    private record Excuse(int dispatcher, double from, double to, boolean drainsOnly) {
+    }
+
+    private final Scenario scenario;
+    private final int attemptsMost;
+    private final Map<String, Job> jobs = new HashMap<>();
+    private final Map<String, First> firsts = new HashMap<>();
+    private final Map<String, Integer> runsOfKey = new HashMap<>();
+    private final Map<String, Double> drainTold = new HashMap<>();
+    private final List<Excuse> excuses = new ArrayList<>();
+    private final List<String> breaks = new ArrayList<>();
+    private final Map<String, Integer> counts = new TreeMap<>();
+
+    private double countFrom;
+
+    Audit(Scenario scenario, int attemptsMost) {
+        this.scenario = scenario;
+        this.attemptsMost = attemptsMost;
+    }
+
+    /** What happens earlier breaks rules as well, but is no figure. */
+    synchronized void countFrom(double at) {
+        countFrom = at;
+    }
+
+    /** A client sends a request; {@code key} is the same for all tries of one job. */
+    synchronized void asked(String id, String key, Scenario.JobClass jobClass, int dispatcher, double now) {
+        Job job = new Job(key, jobClass, dispatcher, now);
+        job.history.add(at(now) + " asked n" + dispatcher + " " + jobClass.name());
+        jobs.put(id, job);
+    }
+
+    /** An attempt has come whole to a runner. */
+    synchronized void arrived(String id, RunnerModel runner, RunnerModel.Taken taken, double now) {
+        add("attempts", now);
+        Job job = jobs.get(id);
+        if (job == null) {
+            broken("invented", id, now, List.of("no client sent this id"));
+            return;
+        }
+        job.history.add(at(now) + " at " + runner.name + " " + taken);
+        if (++job.sends > attemptsMost) {
+            broken("attempts", id, now, job.history);
+        }
+        Double told = drainTold.get(job.dispatcher + " " + runner.name);
+        if (told != null && now > told + scenario.world().grace() + WAY + scenario.links().delay()
+                && !excused(job.dispatcher, told, now, true)) {
+            broken("drain", id, now, job.history);
+        }
+        if (taken == RunnerModel.Taken.FULL) {
+            add("sent_to_full", now);
+        }
+        // What was turned away never ran: it binds no later send.
+        if (job.jobClass.keyed() && (taken == RunnerModel.Taken.RUNS || taken == RunnerModel.Taken.WAITS)) {
+            First first = firsts.putIfAbsent(job.key, new First(now, runner.zone));
+            if (first != null && (now - first.at() > scenario.load().window() + WAY
+                    || !first.zone().equals(runner.zone))) {
+                broken("repeat", id, now, job.history);
+            }
+        }
+    }
+
+    /** A job begins to run. */
+    synchronized void ran(String id, RunnerModel runner, double now) {
+        Job job = jobs.get(id);
+        if (job == null) {
+            return;
+        }
+        job.history.add(at(now) + " runs at " + runner.name);
+        job.runs++;
+        int runs = runsOfKey.merge(job.key, 1, Integer::sum);
+        if (job.jobClass.unsafe() && runs > 1) {
+            broken("twice", id, now, job.history);
+        }
+        if (runs > 1) {
+            add("run_again", now);
+        }
+    }
+
+    /** What the client got: a status, or 0 where its connection broke or its patience ended, and why. */
+    synchronized void answered(String id, int status, String why, double now) {
+        Job job = jobs.get(id);
+        job.answered = true;
+        job.history.add(at(now) + " answer " + status + " " + why);
+        double late = now - job.askedAt - job.jobClass.deadline();
+        if ((status == 0 || late > SPARE) && !excused(job.dispatcher, job.askedAt, now, false)) {
+            broken("one answer", id, now, job.history);
+        }
+        if (status == 0) {
+            add("broken_off", now);
+        }
+    }
+
+    /** A runner fell over while cold. */
+    synchronized void fell(String runner, double now) {
+        broken("cold", runner, now, List.of("offered more than " + scenario.world().runner().factor()
+                + " times what it could"));
+    }
+
+    /** Discovery has written to a dispatcher that a runner drains. */
+    synchronized void toldDrain(int dispatcher, String runner, double now) {
+        drainTold.putIfAbsent(dispatcher + " " + runner, now);
+    }
+
+    synchronized void startedAnew(String runner) {
+        drainTold.keySet().removeIf(k -> k.endsWith(" " + runner));
+    }
+
+    /**
+     * From then to then this dispatcher could not do as the rules want: dead or paused, or, where
+     * {@code drainsOnly}, cut off from discovery.
+     */
+    synchronized void excuse(int dispatcher, double from, double to, boolean drainsOnly) {
+        excuses.add(new Excuse(dispatcher, from, to, drainsOnly));
+    }
+
+    private boolean excused(int dispatcher, double from, double to, boolean drain) {
+        return excuses.stream().anyMatch(e -> e.dispatcher() == dispatcher && (drain || !e.drainsOnly())
+                && e.from() <= to + WAY && e.to() >= from - WAY);
+    }
+
+    /** After the end: what was asked long enough ago and has no answer. */
+    synchronized void close(double now) {
+        jobs.forEach((id, job) -> {
+            if (!job.answered && now - job.askedAt > job.jobClass.deadline() + SPARE
+                    && !excused(job.dispatcher, job.askedAt, now, false)) {
+                broken("one answer", id, now, job.history);
+            }
+        });
+    }
+
+    private void broken(String rule, String job, double now, List<String> history) {
+        breaks.add(at(now) + " " + job + ": " + rule + " (" + String.join("; ", history) + ")");
+    }
+
+    private static String at(double now) {
+        return (long) now + " ms";
+    }
+
+    private void add(String what, double now) {
+        if (now >= countFrom) {
+            counts.merge(what, 1, Integer::sum);
+        }
+    }
+
+    synchronized int count(String what) {
+        return counts.getOrDefault(what, 0);
+    }
+
+    synchronized List<String> breaks() {
+        return List.copyOf(breaks);
+    }
+}
--- /dev/null
+++ b/src/main/java/nettlewick/lab/Fleet.java
@@ -0,0 +1,255 @@
+package nettlewick.lab;
+
+import com.google.gson.Gson;
+import java.io.IOException;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.IntFunction;
+import java.util.stream.Stream;
+import nettlewick.standins.RunnerServer;
+
+/**
+ * The real processes: each a {@code serve} of the built jar with an address, a configuration and a log of
+ * its own. Ended by their own handles, also when the lab is interrupted.
+ */
+final class Fleet implements AutoCloseable {
+    /** Twelve in a thousand of these addresses are used at most; each process has one. */
+    private static final String NET = "127.41.";
+    private static final int PER_BYTE = 250;
+    private static final List<String> FLAGS = List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xms8m",
+            "-Xmx64m", "-XX:MaxMetaspaceSize=48m", "-XX:ReservedCodeCacheSize=24m",
+            "-XX:MaxDirectMemorySize=16m", "-Xss256k", "-XX:-UsePerfData",
+            // Many processes that each see little: what they run seldom is compiled soon all the same.
+            "-XX:CompileThresholdScaling=0.1");
+    private static final double TICKS = 10;
+
+    /** One process of the fleet, alive or not. */
+    static final class Member {
+        final int number;
+        final InetSocketAddress listen;
+        final InetSocketAddress peer;
+        final InetSocketAddress admin;
+        volatile Process process;
+        volatile boolean ready;
+        volatile boolean paused;
+        /** Whether its end was the lab's doing. */
+        volatile boolean killed;
+        /** CPU of its processes that have ended, in milliseconds. */
+        double cpuBefore;
+        int lives;
+
+        Member(int number, InetSocketAddress listen, InetSocketAddress peer, InetSocketAddress admin) {
+            this.number = number;
+            this.listen = listen;
+            this.peer = peer;
+            this.admin = admin;
+        }
+
+        boolean alive() {
+            Process p = process;
+            return p != null && p.isAlive();
+        }
+
+        /** Whether it has ended by itself. */
+        boolean crashed() {
+            return process != null && !killed && !process.isAlive();
+        }
+    }
+
+    private final Path folder;
+    private final List<String> command;
+    private final IntFunction<Map<String, Object>> config;
+    final List<Member> members = new ArrayList<>();
+    private final Thread hook = new Thread(this::end, "lab-end");
+
+    /** @param config the configuration of each process, as it is when that starts */
+    Fleet(int size, Path folder, IntFunction<Map<String, Object>> config) throws IOException {
+        this.folder = Files.createDirectories(folder);
+        this.config = config;
+        command = command();
+        for (int i = 0; i < size; i++) {
+            InetAddress own = address(NET, i);
+            // Danger: asked for one after the other, both might be the same port.
+            try (ServerSocket listen = new ServerSocket(0, 1, own);
+                    ServerSocket admin = new ServerSocket(0, 1, own);
+                    DatagramSocket peer = new DatagramSocket(0, own)) {
+                members.add(new Member(i, new InetSocketAddress(own, listen.getLocalPort()),
+                        new InetSocketAddress(own, peer.getLocalPort()),
+                        new InetSocketAddress(own, admin.getLocalPort())));
+            }
+        }
+        Runtime.getRuntime().addShutdownHook(hook);
+    }
+
+    /** The address of a number in a net such as {@code 127.41.}: no two share one. */
+    static InetAddress address(String net, int number) throws IOException {
+        return InetAddress.getByName(net + number / PER_BYTE + "." + (number % PER_BYTE + 1));
+    }
+
+    /** The jar that this runs from, or its classes where there is none yet. */
+    private static List<String> command() {
+        List<String> line = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java")
+                .toString()));
+        line.addAll(FLAGS);
+        Path source = Path.of(Fleet.class.getProtectionDomain().getCodeSource().getLocation().getPath());
+        if (Files.isRegularFile(source)) {
+            Path archive = source.resolveSibling("nettlewick.jsa");
+            if (Files.isRegularFile(archive)) {
+                line.addAll(List.of("-XX:SharedArchiveFile=" + archive, "-Xlog:cds=off",
+                        "-Xlog:cds+dynamic=off"));
+            }
+            line.addAll(List.of("-jar", source.toString()));
+        } else {
+            line.addAll(List.of("-cp", System.getProperty("surefire.test.class.path",
+                    System.getProperty("java.class.path")), "nettlewick.cli.Main"));
+        }
+        line.add("serve");
+        return line;
+    }
+
+    /** Starts a process for this member, unless it has one. */
+    synchronized void start(int number) throws IOException {
+        Member m = members.get(number);
+        if (m.alive()) {
+            return;
+        }
+        Path own = Files.createDirectories(folder.resolve("n" + number + "-" + m.lives++));
+        Path file = Files.writeString(own.resolve("config.json"), new Gson().toJson(config.apply(number)));
+        List<String> line = new ArrayList<>(command);
+        line.add(1, "-Djava.io.tmpdir=" + own);
+        ProcessBuilder builder = new ProcessBuilder(line).redirectErrorStream(true)
+                .redirectOutput(own.resolve("log").toFile());
+        builder.environment().put("ROUTER_CONFIG", file.toString());
+        m.ready = false;
+        m.paused = false;
+        m.killed = false;
+        m.process = builder.start();
+    }
+
+    /** Ends a process at once, as a power loss would. */
+    void kill(int number) {
+        Member m = members.get(number);
+        if (m.alive()) {
+            m.cpuBefore += cpu(m.process);
+            m.killed = true;
+            m.process.destroyForcibly();
+        }
+    }
+
+    /** The clients' front finds that a process is dead. */
+    void noticed(int number) {
+        Member m = members.get(number);
+        m.ready &= m.alive();
+    }
+
+    /** Stops a process where it is, or lets it go on: what it believes grows old meanwhile. */
+    void pause(int number, boolean stop) throws IOException, InterruptedException {
+        Member m = members.get(number);
+        if (m.alive()) {
+            m.paused = stop;
+            new ProcessBuilder("kill", stop ? "-STOP" : "-CONT", Long.toString(m.process.pid())).start()
+                    .waitFor();
+        }
+    }
+
+    /** CPU that all processes have used together, in milliseconds. */
+    double cpu() {
+        return members.stream().mapToDouble(m -> m.cpuBefore + (m.alive() ? cpu(m.process) : 0)).sum();
+    }
+
+    private static double cpu(Process process) {
+        try {
+            String stat = Files.readString(Path.of("/proc/" + process.pid() + "/stat"));
+            String[] fields = stat.substring(stat.lastIndexOf(')') + 2).split(" ");
+            return (Long.parseLong(fields[11]) + Long.parseLong(fields[12])) * TICKS;
+        } catch (IOException | NumberFormatException e) {
+            return 0;
+        }
+    }
+
+    /** Memory of a process, what it shares with others by its part, in megabytes; 0 where not told. */
+    double megabytes(int number) {
+        Member m = members.get(number);
+        if (!m.alive()) {
+            return 0;
+        }
+        try (Stream<String> lines = Files.lines(Path.of("/proc/" + m.process.pid() + "/smaps_rollup"))) {
+            return lines.filter(l -> l.startsWith("Pss:")).mapToDouble(l -> Double.parseDouble(l.replaceAll(
+                    "\\D+", ""))).sum() / 1024;
+        } catch (IOException | java.io.UncheckedIOException e) {
+            return 0;
+        }
+    }
+
+    private void end() {
+        for (Member m : members) {
+            Process p = m.process;
+            if (p != null) {
+                p.destroyForcibly();
+            }
+        }
+    }
+
+    @Override
+    public void close() {
+        end();
+        for (Member m : members) {
+            try {
+                if (m.process != null) {
+                    m.process.waitFor(10, TimeUnit.SECONDS);
+                }
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
+        try {
+            Runtime.getRuntime().removeShutdownHook(hook);
+        } catch (IllegalStateException e) {
+            // the lab is being ended: the hook runs already
+        }
+    }
+
+    /** The platform's configuration of a dispatcher in this world, but for its addresses. */
+    static Map<String, Object> settings(Scenario scenario, int rank) {
+        Scenario.World w = scenario.world();
+        List<Map<String, Object>> classes = new ArrayList<>();
+        for (Scenario.JobClass c : scenario.load().classes()) {
+            classes.add(Map.of("name", c.name(), "repeat", c.repeat(), "aim", nanos(c.aim()), "deadline",
+                    nanos(c.deadline()), "worth", 1, "window", nanos(scenario.load().window()),
+                    "dedup_scope", "zone"));
+        }
+        Map<String, Object> settings = new LinkedHashMap<>();
+        settings.put("rank", rank);
+        settings.put("fleet_size", w.dispatchers());
+        settings.put("zone", w.zone(rank));
+        settings.put("zones", w.zones());
+        settings.put("models", List.of("std"));
+        settings.put("membership_mode", w.asked() ? "on_request" : "pushed");
+        settings.put("classes", classes);
+        settings.put("tenants", List.of(Map.of("name", "red", "fraction", 1.0)));
+        settings.put("report", Map.of("source", "on_probe", "names", List.of("depth", "concurrent", "x0",
+                "x1")));
+        settings.put("family_info", Map.of("progress", nanos(RunnerServer.PROGRESS), "tells_start",
+                true));
+        settings.put("ceilings", Map.of("attempts_cap", Play.ATTEMPTS, "cancel", w.runner().cancel(), "peers",
+                w.peers(), "probes", true, "retry_after", true, "second_copies", false, "max_retry_after",
+                nanos(2000), "connect_timeout", nanos(200), "conn_idle", nanos(5000)));
+        settings.put("rules", Map.of("cold", nanos(w.runner().cold()), "cold_share", w.runner().share(),
+                "overload_factor", w.runner().factor(), "drain_grace", nanos(w.grace()), "fall",
+                nanos(w.runner().fall()), "answer_slack", nanos(20), "ask_within", nanos(10_000)));
+        return settings;
+    }
+
+    private static long nanos(double millis) {
+        return (long) (millis * 1e6);
+    }
+}
--- /dev/null
+++ b/src/main/java/nettlewick/lab/Party.java
@@ -0,0 +1,28 @@
+package nettlewick.lab;
+
+import java.util.List;
+import nettlewick.settings.Type;
+
+/**
+ * Whom a step of a scenario means: {@code n3} (a dispatcher), {@code s7} (a sim runner), {@code discovery},
+ * {@code dispatchers}, {@code runners}, {@code all} (both), or the name of a zone.
+ *
+ * @param part the part of them that is meant, from 0 to 1, drawn from the scenario's seed
+ */
+record Party(String name, double part) {
+    private static final List<String> GROUPS = List.of("discovery", "dispatchers", "runners", "all");
+
+    static Type<Party> type() {
+        return new Type<>("PARTY", "n3, s7, discovery, dispatchers, runners, all or a zone", word ->
+                word.matches("[A-Za-z][A-Za-z0-9_-]{0,40}") ? new Party(word, 1) : null);
+    }
+
+    /** The number in {@code n3} or {@code s7}; -1 where this names no single one of that kind. */
+    int single(char kind) {
+        return name.matches(kind + "\\d{1,5}") ? Integer.parseInt(name.substring(1)) : -1;
+    }
+
+    boolean group() {
+        return GROUPS.contains(name);
+    }
+}
--- /dev/null
+++ b/src/main/java/nettlewick/lab/Play.java
@@ -0,0 +1,495 @@
+package nettlewick.lab;
+
+import com.google.gson.Gson;
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import io.vertx.core.file.FileSystemOptions;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.PoolOptions;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.Collections;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.SplittableRandom;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.stream.IntStream;
+import nettlewick.standins.DiscoveryServer;
+import nettlewick.standins.RunnerModel;
+import nettlewick.standins.RunnerServer;
+import nettlewick.standins.StandIns;
+import org.HdrHistogram.Histogram;
+
+/** One run of a scenario: builds the world, starts the fleet, asks, does the steps, and counts. */
+final class Play implements AutoCloseable, RunnerServer.Watch {
+    private static final String RUNNERS_NET = "127.43.";
+    /** Most sends of one request. */
+    static final int ATTEMPTS = 6;
+    /** Pairs of dispatcher and runner up to which each has a listener of its own. */
+    private static final int PAIRS = 4096;
+    private static final int RUNNERS_MOST = 20_000;
+    private static final int START_SECONDS = 300;
+    private static final double LIMIT_LATE = 20;
+    private static final double SECOND = 1000;
+
+    private record Due(double at, int order, Step what) {
+    }
+
+    private interface Step {
+        void act() throws Exception;
+    }
+
+    private final Scenario scenario;
+    private final Scenario.World world;
+    private final Vertx vertx;
+    private final HttpClient health;
+    private final long began = System.nanoTime();
+    /** When the load that counts begins, by the lab's clock. */
+    private volatile double loadAt = Double.POSITIVE_INFINITY;
+    private final Links links;
+    private final Audit audit;
+    private final Spread spread;
+    private final List<RunnerModel> models = new CopyOnWriteArrayList<>();
+    private final List<RunnerServer> runners = new ArrayList<>();
+    private final TcpRelay tcp;
+    private final Map<String, InetSocketAddress> dials = new java.util.concurrent.ConcurrentHashMap<>();
+    private final DiscoveryServer discovery;
+    private final Map<Integer, InetSocketAddress> discoveries = new LinkedHashMap<>();
+    private final Fleet fleet;
+    private final DatagramRelay datagrams;
+    private final List<String> peers;
+    private final Clients clients;
+    private final PriorityQueue<Due> due = new PriorityQueue<>((a, b) -> a.at() != b.at()
+            ? Double.compare(a.at(), b.at()) : Integer.compare(a.order(), b.order()));
+    private final Random random;
+    private int orders;
+    private final Histogram lateness = new Histogram(60_000, 3);
+    private final Map<String, Double> figures = new LinkedHashMap<>();
+    private final List<Results.Second> seconds = new ArrayList<>();
+
+    Play(Scenario scenario, Path folder) throws Exception {
+        this.scenario = scenario;
+        world = scenario.world();
+        random = new Random(world.seed());
+        vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(Math.max(4, Runtime.getRuntime()
+                .availableProcessors() / 2)).setFileSystemOptions(new FileSystemOptions()
+                        .setFileCachingEnabled(false).setClassPathResolvingEnabled(false)));
+        health = vertx.createHttpClient(new HttpClientOptions().setConnectTimeout(500).setKeepAlive(false),
+                new PoolOptions().setHttp1MaxSize(4));
+        links = new Links(scenario.links(), world.seed());
+        audit = new Audit(scenario, ATTEMPTS);
+        spread = new Spread(models, scenario.load().meanWork());
+        tcp = scenario.links().relayed() ? new TcpRelay(vertx, links, this::now) : null;
+        discovery = new DiscoveryServer(vertx, world.dispatchers(), world.calls(), audit::toldDrain,
+                this::now, (d, r) -> dials.get(dial(d, Integer.parseInt(r.model.name.substring(1)))));
+        for (int r = 0; r < world.runners(); r++) {
+            discovery.change(add(Double.NEGATIVE_INFINITY), "Ready");
+        }
+        fleet = new Fleet(world.dispatchers(), folder, this::config);
+        for (int d = 0; d < world.dispatchers(); d++) {
+            InetSocketAddress direct = discovery.listen(d);
+            discoveries.put(d, tcp == null ? direct : tcp.open(d, discoveryNumber(), direct));
+        }
+        datagrams = new DatagramRelay(fleet.members.stream().map(m -> m.peer).toList(), links, this::now,
+                Math.max(1, Math.min(3, world.dispatchers() / 50)));
+        peers = datagrams.addresses().stream().map(Play::text).toList();
+        clients = new Clients(scenario, fleet, vertx, audit, spread, this::now);
+    }
+
+    /** The lab's clock: milliseconds since the lab began. Danger: many keep its times, so it never jumps. */
+    private double now() {
+        return (System.nanoTime() - began) / 1e6;
+    }
+
+    /** Milliseconds since the load began that counts; below 0 before. */
+    private double load() {
+        return now() - loadAt;
+    }
+
+    private static String text(InetSocketAddress address) {
+        return address.getAddress().getHostAddress() + ":" + address.getPort();
+    }
+
+    private int number(int runner) {
+        return world.dispatchers() + runner;
+    }
+
+    private int discoveryNumber() {
+        return world.dispatchers() + RUNNERS_MOST;
+    }
+
+    /** The dispatchers that share a listener go by the first of them. */
+    private int group(int dispatcher) {
+        return world.dispatchers() * world.runners() <= PAIRS ? dispatcher
+                : dispatcher % world.zones().size();
+    }
+
+    private String dial(int dispatcher, int runner) {
+        return (tcp == null ? "" : group(dispatcher) + " ") + runner;
+    }
+
+    private RunnerServer add(double born) throws Exception {
+        int r = runners.size();
+        RunnerModel model = new RunnerModel("s" + r, world.zone(r), world.speed(r), world.runner(), born);
+        RunnerServer server = new RunnerServer(Fleet.address(RUNNERS_NET, r).getHostAddress(), model,
+                vertx, this, this::now);
+        InetSocketAddress direct = server.listen();
+        for (int d = 0; d < world.dispatchers(); d++) {
+            String key = dial(d, r);
+            if (!dials.containsKey(key)) {
+                dials.put(key, tcp == null ? direct : tcp.open(group(d), number(r), direct));
+            }
+        }
+        runners.add(server);
+        models.add(model);
+        return server;
+    }
+
+    private Map<String, Object> config(int number) {
+        Fleet.Member m = fleet.members.get(number);
+        Map<String, Object> config = new LinkedHashMap<>();
+        config.put("name", "n" + number);
+        config.put("listen", text(m.listen));
+        config.put("admin_addr", text(m.admin));
+        config.put("discovery", text(discoveries.get(number)));
+        config.put("seed", String.format("%016x", new SplittableRandom(world.seed() + 1000L * number
+                + m.lives).nextLong()));
+        config.put("peer_listen", text(m.peer));
+        config.put("peers", peers);
+        if (m.lives > 1 && world.known()) {
+            config.put("known", new Gson().fromJson(new Gson().toJson(discovery.known(number)), Map.class));
+        }
+        config.put("settings", Fleet.settings(scenario, number));
+        return config;
+    }
+
+    /** Starts all processes, a few at a time, until each says that it is ready. */
+    Map<String, Double> start(Consumer<String> progress) throws Exception {
+        double from = now();
+        int next = 0;
+        int most = Runtime.getRuntime().availableProcessors() + 2;
+        while (fleet.members.stream().anyMatch(m -> !m.ready)) {
+            long starting = fleet.members.stream().filter(m -> m.lives > 0 && !m.ready).count();
+            for (; next < fleet.members.size() && starting < most; next++, starting++) {
+                fleet.start(next);
+            }
+            look();
+            for (Fleet.Member m : fleet.members.subList(0, next)) {
+                if (!m.alive()) {
+                    throw new IOException("n" + m.number + " ended with code " + m.process.exitValue()
+                            + "; its log is in the folder");
+                }
+            }
+            if (now() - from > START_SECONDS * SECOND) {
+                throw new IOException("not all are ready after " + START_SECONDS + " s");
+            }
+            TimeUnit.MILLISECONDS.sleep(50);
+            progress.accept(ready() + " of " + fleet.members.size() + " ready");
+        }
+        figures.put("processes", (double) fleet.members.size());
+        figures.put("ready_s", (now() - from) / SECOND);
+        figures.put("start_cpu_s", fleet.cpu() / SECOND / fleet.members.size());
+        int some = Math.min(8, fleet.members.size());
+        figures.put("megabytes", IntStream.range(0, some).mapToDouble(fleet::megabytes).sum() / some);
+        return figures;
+    }
+
+    /** What the fleet costs with no request at all, over that many milliseconds. */
+    void idle(double millis) throws InterruptedException {
+        double from = now();
+        double cpu = fleet.cpu();
+        long sent = datagrams.sent();
+        TimeUnit.MILLISECONDS.sleep((long) millis);
+        double took = now() - from;
+        figures.put("idle_cores_per_100", (fleet.cpu() - cpu) / took / fleet.members.size() * 100);
+        figures.put("idle_datagrams_per_s", (datagrams.sent() - sent) / took * SECOND / fleet.members.size());
+    }
+
+    private long ready() {
+        return fleet.members.stream().filter(m -> m.ready).count();
+    }
+
+    /** Asks those that are not known to be ready, and forgets those that have been dead for a while. */
+    private void look() {
+        for (Fleet.Member m : fleet.members) {
+            if (m.alive() && !m.ready && !m.paused) {
+                Process asked = m.process;
+                health.request(HttpMethod.GET, m.listen.getPort(), m.listen.getHostString(), "/_health")
+                        .compose(r -> r.send()).onSuccess(r -> m.ready = r.statusCode() == 200
+                                && m.process == asked);
+            }
+        }
+    }
+
+    /** Asks and does the steps; done once every job has its end. */
+    Map<String, Double> run(Consumer<String> progress) throws Exception {
+        List<Trace.Arrival> trace = Trace.of(scenario);
+        loadAt = now() + scenario.load().warm();
+        audit.countFrom(loadAt);
+        clients.countFrom(loadAt);
+        scenario.steps().forEach(s -> plan(loadAt + s.at(), () -> act(s)));
+        for (double t = 0; t < scenario.load().length(); t += Spread.EACH) {
+            double sampled = t;
+            plan(loadAt + t, () -> spread.sample(sampled));
+        }
+        double cpu = 0;
+        long sent = 0;
+        long bytes = 0;
+        boolean counts = false;
+        int next = 0;
+        double told = -scenario.load().warm();
+        double until = scenario.load().length();
+        double longest = scenario.load().classes().stream().mapToDouble(Scenario.JobClass::deadline).max()
+                .orElse(0);
+        while (load() < until || !due.isEmpty() || clients.open.get() > 0 && load() < until + longest
+                + 2 * Audit.SPARE) {
+            while (next < trace.size() && trace.get(next).at() <= load()) {
+                Trace.Arrival a = trace.get(next++);
+                if (a.at() >= 0) {
+                    lateness.recordValue((long) Math.min(60_000, load() - a.at()));
+                }
+                clients.ask(a, loadAt + a.at());
+            }
+            if (!counts && load() >= 0) {
+                counts = true;
+                cpu = fleet.cpu();
+                sent = datagrams.sent();
+                bytes = datagrams.bytes();
+            }
+            while (!due.isEmpty() && due.peek().at() <= now()) {
+                due.poll().what().act();
+            }
+            if (load() - told >= SECOND) {
+                told += SECOND;
+                look();
+                Map<String, Integer> ends = clients.ends();
+                seconds.add(new Results.Second(load(), (int) ready(), next, ends.getOrDefault("in_time", 0),
+                        ends.getOrDefault("late", 0), clients.refusals.get(), clients.open.get()));
+                progress.accept(String.format("%.0f s: %d ready, %d asked, %d served, %d refusals, %d open, "
+                        + "%d breaks", load() / SECOND, ready(), next, clients.served.get(),
+                        clients.refusals.get(), clients.open.get(), audit.breaks().size()));
+                double took = load();
+                if (counts && took < until) {
+                    figures.put("cores", (fleet.cpu() - cpu) / took);
+                    figures.put("datagrams_per_s", (datagrams.sent() - sent) / took * SECOND / fleet.members
+                            .size());
+                    figures.put("datagram_bytes_per_s", (datagrams.bytes() - bytes) / took * SECOND
+                            / fleet.members.size());
+                }
+            }
+            TimeUnit.MICROSECONDS.sleep(500);
+        }
+        audit.close(now());
+        return count((int) trace.stream().filter(a -> a.at() >= 0).count());
+    }
+
+    private Map<String, Double> count(int asked) {
+        figures.put("jobs", (double) asked);
+        for (String end : List.of("in_time", "late", "unserved", "failed", "broken_off", "unanswered")) {
+            figures.put(end, (double) clients.ends().getOrDefault(end, 0));
+        }
+        figures.put("refusals", (double) clients.refusals.get());
+        figures.put("attempts", (double) audit.count("attempts"));
+        figures.put("sent_to_full", audit.count("sent_to_full") / Math.max(1.0, audit.count("attempts")));
+        figures.put("run_again", (double) audit.count("run_again"));
+        figures.putAll(spread.figures());
+        figures.put("latency_p50", (double) clients.latency.getValueAtPercentile(50));
+        figures.put("latency_p99", (double) clients.latency.getValueAtPercentile(99));
+        figures.put("discovery_calls", (double) discovery.calls.get());
+        figures.put("too_long", (double) datagrams.tooLong());
+        figures.put("crashed", (double) fleet.members.stream().filter(Fleet.Member::crashed).count());
+        figures.put("rules_broken", (double) audit.breaks().size());
+        figures.put("generator_late_p99", (double) lateness.getValueAtPercentile(99));
+        figures.put("limited_by_machine", lateness.getValueAtPercentile(99) > LIMIT_LATE ? 1.0 : 0.0);
+        return figures;
+    }
+
+    private void plan(double at, Step what) {
+        due.add(new Due(at, orders++, what));
+    }
+
+    private List<Integer> dispatchers(Party p) {
+        return some(p, IntStream.range(0, world.dispatchers()).filter(d -> p.single('n') == d
+                || p.name().equals("dispatchers") || p.name().equals("all") || world.zone(d).equals(p.name())
+                ));
+    }
+
+    private List<Integer> runners(Party p) {
+        return some(p, IntStream.range(0, runners.size()).filter(r -> p.single('s') == r
+                || p.name().equals("runners") || p.name().equals("all") || world.zone(r).equals(p.name())));
+    }
+
+    private List<Integer> some(Party p, IntStream which) {
+        List<Integer> all = new ArrayList<>(which.boxed().toList());
+        if (p.part() < 1) {
+            Collections.shuffle(all, random);
+            return all.subList(0, (int) Math.round(p.part() * all.size()));
+        }
+        return all;
+    }
+
+    /** All parties by their numbers at the links. */
+    private BitSet all(Party p) {
+        BitSet set = new BitSet();
+        dispatchers(p).forEach(set::set);
+        runners(p).forEach(r -> set.set(number(r)));
+        if (p.name().equals("discovery")) {
+            set.set(discoveryNumber());
+        }
+        return set;
+    }
+
+    private void act(Scenario.Step s) throws Exception {
+        double until = now() + s.span();
+        switch (s.verb()) {
+            case "kill" -> kill(s.first());
+            case "start" -> start(s);
+            case "pause" -> pause(s, until);
+            case "drain" -> {
+                for (int r : runners(s.first())) {
+                    discovery.change(runners.get(r), "Terminating");
+                    runners.get(r).model.drain();
+                }
+            }
+            case "add" -> {
+                List<RunnerServer> added = new ArrayList<>();
+                for (int i = 0; i < s.figure(); i++) {
+                    added.add(add(now()));
+                }
+                added.forEach(r -> discovery.change(r, "Ready"));
+            }
+            case "hang" -> runners(s.first()).forEach(r -> runners.get(r).hungUntil = until);
+            case "empty" -> runners(s.first()).forEach(r -> runners.get(r).emptyUntil = until);
+            case "slow" -> {
+                for (int r : runners(s.first())) {
+                    models.get(r).slow(s.figure());
+                    plan(until, () -> models.get(r).slow(1));
+                }
+            }
+            case "cut", "mute" -> {
+                BitSet from = all(s.first());
+                BitSet to = all(s.second());
+                links.cut(from, to, s.verb().equals("cut"), until);
+                dispatchers(s.first()).forEach(d -> audit.excuse(d, now(), until, true));
+                dispatchers(s.second()).forEach(d -> audit.excuse(d, now(), until, true));
+            }
+            case "refuse", "stall", "reset", "trickle" -> links.treat(all(s.first()), switch (s.verb()) {
+                case "refuse" -> Links.Way.REFUSED;
+                case "stall" -> Links.Way.STALLED;
+                case "reset" -> Links.Way.RESET;
+                default -> Links.Way.TRICKLES;
+            }, until);
+            case "silent" -> discovery.silent(until);
+            case "lists" -> IntStream.range(0, world.dispatchers()).forEach(d -> discovery.apart(d,
+                    random.nextDouble() * s.figure()));
+            case "loss" -> links.lose(s.figure(), until);
+            case "garble" -> garble(s.first(), until);
+            default -> { }
+        }
+    }
+
+    private void kill(Party p) {
+        for (int d : dispatchers(p)) {
+            audit.excuse(d, now(), now() + world.notice(), false);
+            fleet.kill(d);
+            plan(now() + world.notice(), () -> fleet.noticed(d));
+        }
+        runners(p).forEach(r -> runners.get(r).kill());
+    }
+
+    private void start(Scenario.Step s) {
+        double over = Double.isNaN(s.figure()) ? 0 : s.figure();
+        for (int d : dispatchers(s.first())) {
+            plan(now() + random.nextDouble() * over, () -> fleet.start(d));
+        }
+        for (int r : runners(s.first())) {
+            plan(now() + random.nextDouble() * over, () -> {
+                audit.startedAnew(models.get(r).name);
+                runners.get(r).start();
+                discovery.change(runners.get(r), "Ready");
+            });
+        }
+    }
+
+    private void pause(Scenario.Step s, double until) throws Exception {
+        for (int d : dispatchers(s.first())) {
+            audit.excuse(d, now(), until + 2 * Audit.SPARE, false);
+            fleet.pause(d, true);
+            plan(until, () -> fleet.pause(d, false));
+        }
+    }
+
+    private void garble(Party p, double until) throws IOException {
+        SplittableRandom bytes = new SplittableRandom(random.nextLong());
+        for (int d : dispatchers(p)) {
+            for (int i = 0; i < 20; i++) {
+                datagrams.garble(d, bytes);
+            }
+        }
+        if (now() + Spread.EACH < until) {
+            plan(now() + Spread.EACH, () -> garble(p, until));
+        }
+    }
+
+    @Override
+    public void arrived(String id, RunnerModel runner, RunnerModel.Taken how, double now) {
+        if (now >= loadAt) {
+            spread.arrived(runner, now);
+        }
+        audit.arrived(id, runner, how, now);
+        if (how == RunnerModel.Taken.FULL || how == RunnerModel.Taken.DRAINS) {
+            spread.refused();
+        }
+    }
+
+    @Override
+    public void ran(String id, RunnerModel runner, double now) {
+        audit.ran(id, runner, now);
+    }
+
+    @Override
+    public void fell(RunnerModel runner, double now) {
+        audit.fell(runner.name, now);
+    }
+
+    Audit audit() {
+        return audit;
+    }
+
+    Spread spread() {
+        return spread;
+    }
+
+    List<Results.Second> seconds() {
+        return seconds;
+    }
+
+    Histogram latency() {
+        return clients.latency;
+    }
+
+    Fleet fleet() {
+        return fleet;
+    }
+
+    @Override
+    public void close() throws Exception {
+        try {
+            // First: connections that processes reset as they end would each be logged.
+            StandIns.get(vertx.close());
+        } finally {
+            fleet.close();
+            datagrams.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/nettlewick/lab/Results.java
@@ -0,0 +1,178 @@
+package nettlewick.lab;
+
+import java.awt.Color;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.io.Reader;
+import java.io.Writer;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeSet;
+import org.HdrHistogram.Histogram;
+import org.HdrHistogram.HistogramLogWriter;
+import org.apache.commons.csv.CSVFormat;
+import org.apache.commons.csv.CSVPrinter;
+import org.apache.commons.csv.CSVRecord;
+import org.jfree.chart.ChartFactory;
+import org.jfree.chart.ChartUtils;
+import org.jfree.chart.JFreeChart;
+import org.jfree.data.xy.XYSeries;
+import org.jfree.data.xy.XYSeriesCollection;
+
+/** What a run leaves in its folder, and two such folders side by side. */
+final class Results {
+    private static final String FIGURES = "figures.csv";
+    private static final int WIDTH = 1200;
+    private static final int HEIGHT = 600;
+    private static final double SECOND = 1000;
+
+    /** What the fleet had done by the end of a second. */
+    record Second(double at, int ready, int asked, int inTime, int late, int refusals, int open) {
+    }
+
+    private Results() {
+    }
+
+    /** Writes all files; what could not be drawn comes back as a line, else null. */
+    static String write(Path folder, Map<String, Double> figures, List<String> breaks, Spread spread,
+            Histogram latency, List<Second> seconds) throws IOException {
+        Files.createDirectories(folder);
+        try (CSVPrinter csv = csv(folder.resolve(FIGURES))) {
+            csv.printRecord("name", "value");
+            for (Map.Entry<String, Double> f : figures.entrySet()) {
+                csv.printRecord(f.getKey(), plain(f.getValue()));
+            }
+        }
+        try (CSVPrinter csv = csv(folder.resolve("seconds.csv"))) {
+            csv.printRecord("at_ms", "ready", "asked", "in_time", "late", "refusals", "open");
+            for (Second s : seconds) {
+                csv.printRecord(s.at(), s.ready(), s.asked(), s.inTime(), s.late(), s.refusals(), s.open());
+            }
+        }
+        try (CSVPrinter csv = csv(folder.resolve("loads.csv"))) {
+            csv.printRecord("at_ms", "load of each runner over its slots");
+            for (Spread.Sample s : spread.samples()) {
+                csv.print(Math.round(s.at()));
+                for (double load : s.loads()) {
+                    csv.print(plain(load));
+                }
+                csv.println();
+            }
+        }
+        Files.write(folder.resolve("breaks.txt"), breaks);
+        histogram(folder.resolve("latency.hlog"), latency);
+        histogram(folder.resolve("loads.hlog"), spread.loads());
+        try {
+            charts(folder, spread, seconds);
+            return null;
+        } catch (IOException | RuntimeException | LinkageError | InternalError e) {
+            return "no charts, this machine cannot draw text: " + e;
+        }
+    }
+
+    private static CSVPrinter csv(Path file) throws IOException {
+        return new CSVPrinter(Files.newBufferedWriter(file), CSVFormat.DEFAULT.builder()
+                .setRecordSeparator('\n').get());
+    }
+
+    private static void histogram(Path file, Histogram h) throws IOException {
+        try (PrintStream out = new PrintStream(Files.newOutputStream(file))) {
+            HistogramLogWriter log = new HistogramLogWriter(out);
+            log.outputLogFormatVersion();
+            log.outputLegend();
+            log.outputIntervalHistogram(h);
+        }
+    }
+
+    private static void charts(Path folder, Spread spread, List<Second> seconds) throws IOException {
+        System.setProperty("java.awt.headless", "true");
+        XYSeriesCollection loads = new XYSeriesCollection();
+        List<Spread.Sample> samples = spread.samples();
+        int runners = samples.stream().mapToInt(s -> s.loads().length).max().orElse(0);
+        for (int r = 0; r < runners; r++) {
+            XYSeries line = new XYSeries("s" + r);
+            for (Spread.Sample s : samples) {
+                line.add(s.at() / SECOND, r < s.loads().length ? s.loads()[r] : Double.NaN);
+            }
+            loads.addSeries(line);
+        }
+        draw(folder.resolve("load.png"), "Load of each sim runner", "jobs in hand over slots", loads, false);
+        Map<String, XYSeries> rates = new LinkedHashMap<>();
+        Second before = new Second(0, 0, 0, 0, 0, 0, 0);
+        for (Second s : seconds) {
+            double span = Math.max(1, s.at() - before.at()) / SECOND;
+            rate(rates, "asked", s.at(), (s.asked() - before.asked()) / span);
+            rate(rates, "in time", s.at(), (s.inTime() - before.inTime()) / span);
+            rate(rates, "late", s.at(), (s.late() - before.late()) / span);
+            rate(rates, "refusals", s.at(), (s.refusals() - before.refusals()) / span);
+            before = s;
+        }
+        XYSeriesCollection answers = new XYSeriesCollection();
+        rates.values().forEach(answers::addSeries);
+        draw(folder.resolve("answers.png"), "Answers", "a second", answers, true);
+    }
+
+    private static void rate(Map<String, XYSeries> rates, String name, double at, double value) {
+        rates.computeIfAbsent(name, XYSeries::new).add(at / SECOND, value);
+    }
+
+    private static void draw(Path file, String title, String axis, XYSeriesCollection data, boolean legend)
+            throws IOException {
+        JFreeChart chart = ChartFactory.createXYLineChart(title, "seconds", axis, data);
+        if (!legend) {
+            chart.removeLegend();
+        }
+        chart.getXYPlot().setBackgroundPaint(Color.WHITE);
+        ChartUtils.saveChartAsPNG(file.toFile(), chart, WIDTH, HEIGHT);
+    }
+
+    /** A number as a person writes it. */
+    static String plain(double value) {
+        return Double.isNaN(value) ? "" : value == Math.rint(value) && Math.abs(value) < 1e12
+                ? Long.toString((long) value) : String.format(java.util.Locale.ROOT, "%.4f", value);
+    }
+
+    /** The figures of a run's folder. */
+    static Map<String, Double> read(Path folder) throws IOException {
+        Map<String, Double> figures = new LinkedHashMap<>();
+        try (Reader in = Files.newBufferedReader(folder.resolve(FIGURES))) {
+            for (CSVRecord row : CSVFormat.DEFAULT.builder().setHeader().setSkipHeaderRecord(true).get()
+                    .parse(in)) {
+                figures.put(row.get("name"), Double.valueOf(row.get("value")));
+            }
+        }
+        return figures;
+    }
+
+    /** Two runs side by side, one figure a line. */
+    static void compare(Path a, Path b, Appendable out) throws IOException {
+        Map<String, Double> first = read(a);
+        Map<String, Double> second = read(b);
+        out.append(String.format("%-24s %14s %14s %10s%n", "", a.getFileName(), b.getFileName(), "ratio"));
+        List<String> names = new ArrayList<>(first.keySet());
+        new TreeSet<>(second.keySet()).stream().filter(n -> !first.containsKey(n)).forEach(names::add);
+        for (String name : names) {
+            double x = first.getOrDefault(name, Double.NaN);
+            double y = second.getOrDefault(name, Double.NaN);
+            out.append(String.format("%-24s %14s %14s %10s%n", name, plain(x), plain(y), x == 0 || Double
+                    .isNaN(x) || Double.isNaN(y) ? "" : String.format(java.util.Locale.ROOT, "%.2f", y / x)));
+        }
+    }
+
+    /** For a folder that a person gave: whether a run is in it. */
+    static boolean holds(Path folder) {
+        return Files.isRegularFile(folder.resolve(FIGURES));
+    }
+
+    /** Copies a text beside the figures. */
+    static void keep(Path folder, String name, String text) throws IOException {
+        Files.createDirectories(folder);
+        try (Writer out = Files.newBufferedWriter(folder.resolve(name))) {
+            out.write(text);
+        }
+    }
+}
--- a/src/main/java/nettlewick/settings/Keyword.java
+++ b/src/main/java/nettlewick/settings/Keyword.java
@@ -49,7 +49,11 @@
 
     /** How it is written. */
     String usage() {
-        return forms.stream().map(form -> name + " " + form.stream().map(Type::name)
+        return usage(forms);
+    }
+
+    private String usage(List<List<Type<?>>> some) {
+        return some.stream().map(form -> name + " " + form.stream().map(Type::name)
                 .collect(Collectors.joining(" "))).collect(Collectors.joining(" or "));
     }
 
@@ -57,6 +61,8 @@
     List<Object> read(Place place, List<String> words) {
         String wrong = null;
         String wanted = null;
+        int furthest = 0;
+        List<List<Type<?>>> near = new java.util.ArrayList<>();
         for (List<Type<?>> form : forms) {
             List<Object> values = new java.util.ArrayList<>();
             for (int i = 0; i < Math.min(form.size(), words.size()); i++) {
@@ -73,8 +79,16 @@
             if (values.size() == form.size() && form.size() == words.size()) {
                 return List.copyOf(values);
             }
+            if (values.size() > furthest) {
+                furthest = values.size();
+                near.clear();
+            }
+            if (values.size() == furthest) {
+                near.add(form);
+            }
         }
         throw wrong != null && forms.size() == 1 ? BadSettings.value(place, name, wrong, wanted)
-                : BadSettings.value(place, name, String.join(" ", words), "written as: " + usage());
+                : BadSettings.value(place, name, String.join(" ", words), "written as: "
+                        + usage(furthest > 1 ? near : forms));
     }
 }
--- a/src/main/java/nettlewick/settings/Settings.java
+++ b/src/main/java/nettlewick/settings/Settings.java
@@ -28,6 +28,16 @@
         return read(Lines.ofText(name, text), Table.ROOT);
     }
 
+    /** Reads and checks a file of the same form with keywords of its own. */
+    public static Settings read(Path file, Section table) {
+        return read(Lines.of(file), table);
+    }
+
+    /** Checks a text of the same form with keywords of its own, as if it stood in a file of that name. */
+    public static Settings parse(String name, String text, Section table) {
+        return read(Lines.ofText(name, text), table);
+    }
+
     /** What is in force where there is no file. */
     public static Settings none() {
         return read(List.of(), Table.ROOT);
--- /dev/null
+++ b/src/main/java/nettlewick/standins/RunnerServer.java
@@ -0,0 +1,238 @@
+package nettlewick.standins;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpConnection;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.HttpServerResponse;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.DoubleSupplier;
+
+/** A sim runner on a socket, by the protocol page: the model behind it decides, the audit sees every job. */
+public final class RunnerServer {
+    /** Hears of what happens at a runner; called from its event loop. */
+    public interface Watch {
+        /** An attempt has come whole. */
+        void arrived(String id, RunnerModel runner, RunnerModel.Taken how, double now);
+
+        /** A job begins to run. */
+        void ran(String id, RunnerModel runner, double now);
+
+        /** It was pushed over while cold, and is down. */
+        void fell(RunnerModel runner, double now);
+    }
+
+    /** A job that was taken: where its lines go, and its timer once it runs. */
+    private static final class Taken {
+        final HttpServerResponse response;
+        volatile long timer = -1;
+
+        Taken(HttpServerResponse response) {
+            this.response = response;
+        }
+    }
+
+    /** A report as it was some time ago. */
+    private record Report(double at, String text) {
+    }
+
+    /** Milliseconds between two words of a job that runs. */
+    public static final double PROGRESS = 1000;
+
+    public final RunnerModel model;
+    private final String host;
+    private final Vertx vertx;
+    private final Watch watch;
+    private final DoubleSupplier clock;
+    private final Map<String, Taken> taken = new ConcurrentHashMap<>();
+    private final Set<HttpConnection> connections = ConcurrentHashMap.newKeySet();
+    private HttpServer server;
+    private InetSocketAddress address;
+    /** Until when it swallows what comes, and until when its reports say that it is empty. */
+    public volatile double hungUntil;
+    public volatile double emptyUntil;
+    private volatile Report report = new Report(Double.NEGATIVE_INFINITY, "");
+    private boolean fell;
+
+    /** @param host the loopback address that it listens at, its own; @param clock milliseconds */
+    public RunnerServer(String host, RunnerModel model, Vertx vertx, Watch watch, DoubleSupplier clock) {
+        this.host = host;
+        this.model = model;
+        this.vertx = vertx;
+        this.watch = watch;
+        this.clock = clock;
+    }
+
+    /** Listens, at the same address at every start. */
+    public InetSocketAddress listen() throws Exception {
+        server = vertx.createHttpServer(new HttpServerOptions().setHttp2ClearTextEnabled(false));
+        server.connectionHandler(c -> {
+            connections.add(c);
+            c.closeHandler(v -> connections.remove(c));
+            c.exceptionHandler(e -> { });
+        });
+        server.exceptionHandler(e -> { });
+        server.requestHandler(this::serve);
+        if (address == null) {
+            StandIns.get(server.listen(0, host));
+            address = new InetSocketAddress(host, server.actualPort());
+        } else {
+            StandIns.get(server.listen(address.getPort(), address.getHostString()));
+        }
+        return address;
+    }
+
+    /** The process dies: connections are reset, what ran is lost. */
+    public void kill() {
+        if (!model.up()) {
+            return;
+        }
+        for (String id : model.die()) {
+            Taken t = taken.remove(id);
+            if (t != null) {
+                vertx.cancelTimer(t.timer);
+            }
+        }
+        server.close();
+        connections.forEach(HttpConnection::close);
+    }
+
+    /** Starts again, cold. */
+    public void start() throws Exception {
+        if (!model.up()) {
+            model.start(clock.getAsDouble());
+            fell = false;
+            listen();
+        }
+    }
+
+    private void serve(HttpServerRequest request) {
+        double now = clock.getAsDouble();
+        request.exceptionHandler(e -> { });
+        if (now < hungUntil) {
+            return;
+        }
+        if (request.method() == HttpMethod.GET) {
+            request.response().end(report(now));
+            return;
+        }
+        request.body().onSuccess(body -> take(request, Double.parseDouble(body.toString())));
+    }
+
+    private String report(double now) {
+        if (now < emptyUntil) {
+            return "depth=0,concurrent=0,x0=" + model.slots + ",x1=" + model.slots;
+        }
+        if (now - report.at() >= model.kind.reportAge()) {
+            int free = Math.max(0, model.slots - model.busy());
+            report = new Report(now, "depth=" + model.waiting() + ",concurrent=" + (model.busy()
+                    + model.waiting()) + ",x0=" + free + ",x1=" + free);
+        }
+        return report.text();
+    }
+
+    private void take(HttpServerRequest request, double work) {
+        double now = clock.getAsDouble();
+        String id = request.getHeader("X-Request-Id");
+        HttpServerResponse response = request.response();
+        response.exceptionHandler(e -> { });
+        if (now < hungUntil || !model.up()) {
+            return;
+        }
+        List<RunnerModel.Begun> begun = new ArrayList<>();
+        String own = id + "@" + System.nanoTime();
+        // Danger: a job that begins at once needs its entry before its timer is set.
+        taken.put(own, new Taken(response));
+        RunnerModel.Taken how = model.offer(own, work, now, begun);
+        watch.arrived(id, model, how, now);
+        if (model.fallen() && !fell) {
+            fell = true;
+            watch.fell(model, now);
+            kill();
+            return;
+        }
+        if (how == RunnerModel.Taken.FULL || how == RunnerModel.Taken.DRAINS) {
+            taken.remove(own);
+            response.setStatusCode(503).putHeader("X-Not-Run", "1").end();
+            return;
+        }
+        response.setChunked(true).writeHead();
+        response.closeHandler(v -> gone(own));
+        begun.forEach(this::begin);
+    }
+
+    private static String plain(String own) {
+        return own.substring(0, own.lastIndexOf('@'));
+    }
+
+    private void begin(RunnerModel.Begun b) {
+        Taken t = taken.get(b.id());
+        if (t == null) {
+            return;
+        }
+        String id = plain(b.id());
+        watch.ran(id, model, clock.getAsDouble());
+        write(t, id, "started\"}", false);
+        proceed(b.id(), t, 0, Math.max(1, b.millis()));
+    }
+
+    /** Tells of progress each second, as the settings say, and ends the job when its time is over. */
+    private void proceed(String own, Taken t, double done, double millis) {
+        double next = Math.min(PROGRESS, millis - done);
+        t.timer = vertx.setTimer(Math.max(1, Math.round(next)), timer -> {
+            if (done + next >= millis) {
+                finish(own, t);
+                return;
+            }
+            if (clock.getAsDouble() >= hungUntil) {
+                write(t, plain(own), "running\",\"share\":" + (float) ((done + next) / millis) + "}", false);
+            }
+            proceed(own, t, done + next, millis);
+        });
+    }
+
+    /** Danger: what runs while the runner hangs ends only once that does. */
+    private void finish(String own, Taken t) {
+        double hung = hungUntil - clock.getAsDouble();
+        if (hung > 0) {
+            t.timer = vertx.setTimer((long) hung + 1, timer -> finish(own, t));
+        } else if (taken.remove(own) != null) {
+            next(own);
+            write(t, plain(own), "done\",\"result\":\"r-" + plain(own) + "\"}", true);
+        }
+    }
+
+    private void next(String own) {
+        List<RunnerModel.Begun> begun = new ArrayList<>();
+        model.end(own, clock.getAsDouble(), begun);
+        begun.forEach(this::begin);
+    }
+
+    /** Whoever waited for this job has closed the connection. */
+    private void gone(String own) {
+        Taken t = model.kind.cancel() ? taken.remove(own) : null;
+        if (t != null) {
+            vertx.cancelTimer(t.timer);
+            next(own);
+        }
+    }
+
+    private void write(Taken t, String id, String state, boolean last) {
+        if (t.response.closed() || t.response.ended()) {
+            return;
+        }
+        String line = "{\"id\":\"" + id + "\",\"from\":\"" + model.name + "\",\"state\":\"" + state + "\n";
+        if (last) {
+            t.response.end(line);
+        } else {
+            t.response.write(line);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/nettlewick/cli/LabCommandTest.java
@@ -0,0 +1,60 @@
+package nettlewick.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import nettlewick.standins.StandIns;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+@Timeout(60)
+class LabCommandTest {
+    private static final String WORLD = """
+            world {
+                dispatchers 3
+                runners 2
+            }
+            load {
+                rate 5
+                length 10m
+                class step-view 100% 50ms 500ms
+            }
+            """;
+
+    @TempDir
+    private Path dir;
+
+    private Process lab(String what, String text) throws Exception {
+        Path file = Files.writeString(dir.resolve("scenario.conf"), text);
+        return Child.start(dir.resolve("log"), Map.of("LC_ALL", "C"), "lab", what, file.toString(), "--out",
+                dir.resolve("out").toString());
+    }
+
+    @Test
+    void aBadScenarioIsOneLineAndNothingStarts() throws Exception {
+        Process lab = lab("run", WORLD + "steps {\n at 1s pause s1 for 2s\n}\n");
+        assertTrue(lab.waitFor(30, TimeUnit.SECONDS));
+        assertEquals(2, lab.exitValue());
+        List<String> lines = Files.readAllLines(dir.resolve("log"));
+        assertEquals(1, lines.size(), lines::toString);
+        assertTrue(lines.get(0).contains("scenario.conf:11: at is s1, but has to be dispatchers"), lines.get(0));
+        assertTrue(Files.notExists(dir.resolve("out")));
+    }
+
+    /** Guards against hundreds of processes left behind by a lab that somebody ended. */
+    @Test
+    void anInterruptedLabLeavesNoProcess() throws Exception {
+        Process lab = lab("run", WORLD);
+        StandIns.until(() -> lab.descendants().count() >= 3);
+        List<ProcessHandle> fleet = lab.descendants().toList();
+        lab.destroy();
+        assertTrue(lab.waitFor(30, TimeUnit.SECONDS));
+        StandIns.until(() -> fleet.stream().noneMatch(ProcessHandle::isAlive));
+    }
+}
--- /dev/null
+++ b/src/test/java/nettlewick/lab/AuditTest.java
@@ -0,0 +1,120 @@
+package nettlewick.lab;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import nettlewick.standins.RunnerModel;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Each rule is broken by hand once: an audit that never finds anything would prove nothing. */
+class AuditTest {
+    private final Scenario scenario = Scenario.parse("x.conf", ScenarioTest.text(""));
+    private final Scenario.JobClass unsafe = new Scenario.JobClass("mark-submit", 1, 40, 400, 4000);
+    private final Scenario.JobClass keyed = new Scenario.JobClass("save-run", 1, 40, 400, 4000);
+    private final Scenario.JobClass safe = new Scenario.JobClass("step-view", 1, 40, 400, 4000);
+    private final RunnerModel a = new RunnerModel("s0", "a", 1, scenario.world().runner(), Double.NEGATIVE_INFINITY);
+    private final RunnerModel b = new RunnerModel("s1", "b", 1, scenario.world().runner(), Double.NEGATIVE_INFINITY);
+    private Audit audit;
+
+    @BeforeEach
+    void open() {
+        audit = new Audit(scenario, 2);
+    }
+
+    private void send(String id, RunnerModel to, double now) {
+        audit.arrived(id, to, RunnerModel.Taken.RUNS, now);
+        audit.ran(id, to, now);
+    }
+
+    private void finds(String rule) {
+        List<String> breaks = audit.breaks();
+        assertEquals(1, breaks.size(), breaks::toString);
+        assertTrue(breaks.get(0).contains(": " + rule + " ("), breaks.get(0));
+    }
+
+    @Test
+    void anUnsafeJobThatRunsTwiceUnderTwoIds() {
+        audit.asked("k-1", "k", unsafe, 0, 0);
+        send("k-1", a, 10);
+        audit.asked("k-2", "k", unsafe, 1, 20);
+        send("k-2", b, 30);
+        finds("twice");
+        assertTrue(audit.breaks().get(0).startsWith("30 ms k-2"), "time and job");
+    }
+
+    @Test
+    void aKeyedRepeatInAnotherZone() {
+        audit.asked("k-1", "k", keyed, 0, 0);
+        send("k-1", a, 10);
+        send("k-1", b, 20);
+        finds("repeat");
+    }
+
+    /** Guards against a break that is none: a send that was turned away has never run. */
+    @Test
+    void aKeyedJobThatWasTurnedAwayMayGoAnywhere() {
+        audit.asked("k-1", "k", keyed, 0, 0);
+        audit.arrived("k-1", a, RunnerModel.Taken.DRAINS, 10);
+        send("k-1", b, 20);
+        assertEquals(List.of(), audit.breaks());
+    }
+
+    @Test
+    void aKeyedRepeatAfterItsWindow() {
+        audit.asked("k-1", "k", keyed, 0, 0);
+        send("k-1", a, 10);
+        send("k-1", a, 10 + scenario.load().window());
+        assertEquals(List.of(), audit.breaks());
+        audit.asked("k-2", "k", keyed, 0, 0);
+        audit.arrived("k-2", a, RunnerModel.Taken.RUNS, 11 + scenario.load().window() + Audit.WAY);
+        finds("repeat");
+    }
+
+    @Test
+    void moreAttemptsThanTheCap() {
+        audit.asked("k-1", "k", safe, 0, 0);
+        for (int i = 0; i < 3; i++) {
+            send("k-1", a, i);
+        }
+        finds("attempts");
+    }
+
+    @Test
+    void aSendToADrainingRunnerThatWasToldOf() {
+        audit.toldDrain(0, "s0", 100);
+        audit.asked("k-1", "k", safe, 0, 4000);
+        audit.asked("k-2", "k2", safe, 1, 4000);
+        send("k-2", a, 4000);
+        send("k-1", a, 3000);
+        assertEquals(List.of(), audit.breaks());
+        send("k-1", a, 100 + scenario.world().grace() + Audit.WAY + 1);
+        finds("drain");
+    }
+
+    @Test
+    void anAnswerThatNeverCameFromADispatcherThatLived() {
+        audit.asked("k-1", "k", safe, 0, 0);
+        audit.asked("k-2", "k2", safe, 1, 0);
+        audit.excuse(1, 100, 200, false);
+        audit.close(4000 + Audit.SPARE);
+        assertEquals(List.of(), audit.breaks());
+        audit.close(4001 + Audit.SPARE);
+        finds("one answer");
+    }
+
+    @Test
+    void aConnectionThatBreaksUnderALivingDispatcher() {
+        audit.asked("k-1", "k", safe, 0, 0);
+        audit.excuse(0, 0, 10, true);
+        audit.answered("k-1", 0, "closed", 20);
+        finds("one answer");
+    }
+
+    @Test
+    void aJobThatNoClientSent() {
+        send("x-1", a, 5);
+        finds("invented");
+    }
+}
--- /dev/null
+++ b/src/test/java/nettlewick/lab/LabProcessTest.java
@@ -0,0 +1,109 @@
+package nettlewick.lab;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Path;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Twelve real dispatchers with faults between them: every rule on every job, and counts with room. */
+@Timeout(120)
+class LabProcessTest {
+    @TempDir
+    private Path dir;
+
+    private Map<String, Double> play(String more, String steps) throws Exception {
+        Scenario scenario = Scenario.parse("test", """
+                world {
+                    seed 11
+                    dispatchers 12
+                    runners 7
+                    runners 1 speed 0.5
+                    zone a
+                    zone b
+                    slots 2
+                    queue 4
+                    cold 2s
+                }
+                load {
+                    rate 40
+                    length 8s
+                    warm 3s
+                    class step-view 50% 100ms 1s
+                    class save-run 20% 150ms 1s
+                    class mark-submit 30% 100ms 1s
+                }
+                """ + more + "steps {\n" + steps + "}\n");
+        try (Play play = new Play(scenario, dir)) {
+            play.start(line -> { });
+            Map<String, Double> figures = play.run(line -> { });
+            Results.write(dir.resolve("out"), figures, play.audit().breaks(), play.spread(), play.latency(),
+                    play.seconds());
+            assertEquals("", String.join("\n", play.audit().breaks()));
+            assertEquals(0, figures.get("crashed"));
+            assertEquals(0, figures.get("too_long"));
+            assertEquals(figures.get("jobs"), figures.get("in_time") + figures.get("late") + figures.get(
+                    "unserved") + figures.get("failed") + figures.get("broken_off"), figures::toString);
+            assertEquals(figures.get("jobs"), Results.read(dir.resolve("out")).get("jobs"));
+            return figures;
+        }
+    }
+
+    private static void most(Map<String, Double> figures, String name, double part) {
+        assertTrue(figures.get(name) <= part * figures.get("jobs"), name + " of " + figures);
+    }
+
+    /** Counted without regard to time: a slow machine answers late. */
+    private static void served(Map<String, Double> figures, double part) {
+        assertTrue(figures.get("in_time") + figures.get("late") >= part * figures.get("jobs"), figures::toString);
+    }
+
+    @Test
+    void datagramsThatAreLostDoubledLateAndHostile() throws Exception {
+        Map<String, Double> f = play("""
+                links {
+                    loss 20%
+                    duplicates 20%
+                    delay 2ms
+                    jitter 40ms
+                }
+                """, """
+                at 2s garble dispatchers for 2s
+                at 4s loss 50% for 3s
+                """);
+        most(f, "unserved", 0.05);
+        most(f, "failed", 0);
+    }
+
+    @Test
+    void halvesThatCannotHearOneAnotherAndOwnersThatDieOrSleep() throws Exception {
+        Map<String, Double> f = play("", """
+                at 1s cut zone a from b for 4s
+                at 2s pause n3 for 2s
+                at 2s kill 25% of dispatchers
+                at 4s start all in random order over 1s
+                at 5s mute n5 to dispatchers for 2s
+                """);
+        served(f, 0.5);
+    }
+
+    @Test
+    void runnersThatComeGoAndLie() throws Exception {
+        Map<String, Double> f = play("", """
+                at 1s lists apart 2s
+                at 1s add 5 runners
+                at 2s drain s1
+                at 3s kill s2
+                at 3s hang s3 for 2s
+                at 4s start s2
+                at 4s empty s0 for 1s
+                at 5s slow zone b by 2 for 2s
+                at 5s reset s4 for 500ms
+                at 6s trickle s5 for 1s
+                """);
+        served(f, 0.5);
+    }
+}
--- /dev/null
+++ b/src/test/java/nettlewick/lab/ScenarioTest.java
@@ -0,0 +1,90 @@
+package nettlewick.lab;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import nettlewick.settings.BadSettings;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class ScenarioTest {
+    static String text(String steps) {
+        return """
+                world {
+                    seed 5
+                    dispatchers 6
+                    runners 3
+                    runners 2 speed 0.5
+                    zone a
+                    zone b
+                }
+                load {
+                    rate 40
+                    length 8s
+                    class step-view 70% 40ms 400ms
+                    class mark-submit 30% 40ms 400ms
+                }
+                steps {
+                """ + steps + "\n}\n";
+    }
+
+    @Test
+    void whatTheStepsSayIsWhatIsDone() {
+        Scenario s = Scenario.parse("x.conf", text("""
+                at 10s start all in random order over 3s
+                at 5s cut zone a from b for 6s
+                at 8s kill 70% of dispatchers
+                at 9s pause n3 for 4s
+                at 1s slow s4 by 2.5 for 500ms
+                at 2s add 20 runners
+                at 3s loss 20% for 1s
+                at 4s lists apart 5s
+                """));
+        assertEquals(List.of("slow", "add", "loss", "lists", "cut", "kill", "pause", "start"),
+                s.steps().stream().map(Scenario.Step::verb).toList());
+        assertEquals(new Scenario.Step(1000, "slow", new Party("s4", 1), null, 2.5, 500), s.steps().get(0));
+        assertEquals(new Scenario.Step(5000, "cut", new Party("a", 1), new Party("b", 1), Double.NaN, 6000),
+                s.steps().get(4));
+        assertEquals(new Party("dispatchers", 0.7), s.steps().get(5).first());
+        assertEquals(3000, s.steps().get(7).figure());
+        assertEquals(5, s.world().runners());
+        assertEquals(0.5, s.world().speed(4));
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "at 1s pause s2 for 1s | dispatchers: only they are processes",
+        "at 1s kill n6 | one of the 6 dispatchers",
+        "at 1s cut zone c from b for 1s | one of the 6 dispatchers",
+        "at 1s kill 700% of dispatchers | written as",
+        "at soon kill n1 | written as",
+        "at 1s expolde n1 | written as",
+        "af 1s kill n1 | the nearest is at"})
+    void aBadStepIsOneLineWithItsPlace(String step, String wanted) {
+        BadSettings bad = assertThrows(BadSettings.class, () -> Scenario.parse("x.conf", text(step)));
+        assertTrue(bad.getMessage().startsWith("x.conf:16"), bad.getMessage());
+        assertTrue(bad.getMessage().contains(wanted), bad.getMessage());
+        assertEquals(1, bad.getMessage().lines().count());
+    }
+
+    @Test
+    void faultsOfTheRelayWantTheRelay() {
+        BadSettings bad = assertThrows(BadSettings.class, () -> Scenario.parse("x.conf",
+                text("at 1s reset s1 for 1s") + "links {\n tcp direct\n}\n"));
+        assertTrue(bad.getMessage().contains("tcp direct"), bad.getMessage());
+    }
+
+    /** Guards against bursts that only shift the arrivals. */
+    @Test
+    void theRateIsAsTheStepsSay() {
+        Scenario s = Scenario.parse("x.conf", text("at 4s rate by 3 for 2s"));
+        List<Trace.Arrival> trace = Trace.of(s);
+        assertEquals(trace, Trace.of(s));
+        long burst = trace.stream().filter(a -> a.at() >= 4000 && a.at() < 6000).count();
+        assertTrue(Math.abs(burst - 240) < 60, burst + " of 240");
+        assertTrue(Math.abs(trace.size() - burst - 240) < 60, trace.size() - burst + " of 240");
+    }
+}
