--- a/src/main/java/nettlewick/lab/Fleet.java
+++ b/src/main/java/nettlewick/lab/Fleet.java
@@ -22,7 +22,7 @@
  * its own. Ended by their own handles, also when the lab is interrupted.
  */
 final class Fleet implements AutoCloseable {
-    /** Twelve in a thousand of these addresses are used at most; each process has one. */
+    /** Each process has an address of its own in this net. */
     private static final String NET = "127.41.";
     private static final int PER_BYTE = 250;
     private static final List<String> FLAGS = List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xms8m",
--- a/src/main/java/nettlewick/lab/Play.java
+++ b/src/main/java/nettlewick/lab/Play.java
@@ -478,10 +478,6 @@
         return clients.latency;
     }
 
-    Fleet fleet() {
-        return fleet;
-    }
-
     @Override
     public void close() throws Exception {
         try {
