No request ends unanswered or begins after its end: closes, departures, late connections

Found by reading and forced in tests on real sockets:

- An attempt was checked when it was chosen, not when its connection came up.
It is checked again in the turn that writes: request open, time left, runner unchanged, and the client's socket is read then, so that an end that waits unread in it is seen.
- Garbage or too much behind a request in work was answered at once in that request's place, and it was forwarded all the same.
What was read whole is answered first, in order; then the connection ends.
- A request that waited behind another was timed from the moment it was passed on, so its runner was told more time than the client had.
It counts from its own last byte.
- A close over unread bytes, or over an answer still on its way to a slow reader: one lingering close for all ends.
- The listener's end reset what the kernel had accepted; at a planned end it is accepted first, within the bound.
Before the kill all that is open is ended, not only what came after the signal.
- A line for another request's id was taken for this one's; a kept connection rests 50 ms before a job that may not repeat uses it, since a second answer may come late.
- Discovery that counts from the beginning again was passed over; half a first word after a broken watch was waited for past the told time.

--- a/src/main/java/nettlewick/core/Attempt.java
+++ b/src/main/java/nettlewick/core/Attempt.java
@@ -1,5 +1,6 @@
 package nettlewick.core;
 
+import java.util.function.BooleanSupplier;
 import nettlewick.decision.Dispatcher.Load;
 import nettlewick.decision.Dispatcher.Result;
 
@@ -7,14 +8,17 @@
 public final class Attempt extends Outgoing {
     private final Request request;
     private final int number;
+    private final BooleanSupplier open;
     private double startedAt = Double.NaN;
     private double endedAt = Double.NaN;
     private double share;
 
-    Attempt(Request request, int number, String worker, double sentAt) {
+    /** {@code open} tells, on any thread, whether the request's end is still undecided. */
+    Attempt(Request request, int number, String worker, double sentAt, BooleanSupplier open) {
         super(worker, sentAt);
         this.request = request;
         this.number = number;
+        this.open = open;
     }
 
     public Request request() {
@@ -25,6 +29,14 @@
         return number;
     }
 
+    /**
+     * Whether it may still be written to its worker at that time: its request is open, its client is there,
+     * and time is left. Asked in the turn that writes, by whoever owns the client's connection.
+     */
+    public boolean mayBegin(double now) {
+        return open.getAsBoolean() && now < request.deadline() && request.caller().present();
+    }
+
     /** The worker tells that it has begun; only its first word counts. */
     void started(double at) {
         startedAt = Double.isNaN(startedAt) ? at : startedAt;
--- a/src/main/java/nettlewick/core/Open.java
+++ b/src/main/java/nettlewick/core/Open.java
@@ -6,13 +6,12 @@
 /** A request until its final answer and its last outcome. */
 final class Open {
     final Request request;
-    final double arrivedAt;
     final List<Attempt> attempts = new ArrayList<>(2);
-    boolean answered;
+    /** Its end is decided. Written by the core's thread alone; the event loop reads it before each send. */
+    volatile boolean answered;
 
-    Open(Request request, double arrivedAt) {
+    Open(Request request) {
         this.request = request;
-        this.arrivedAt = arrivedAt;
     }
 
     boolean out() {
--- a/src/main/java/nettlewick/core/Request.java
+++ b/src/main/java/nettlewick/core/Request.java
@@ -28,6 +28,14 @@
             receipt.answered();
         }
 
+        /**
+         * Whether anybody still waits for the answer. Asked on the event loop, in the turn that would send
+         * the request on; a client that comes back for its job counts as present all the time.
+         */
+        default boolean present() {
+            return true;
+        }
+
         /** A sign of life: the share of the job that is done. Not final. */
         default void progress(double share) {
         }
--- a/src/main/java/nettlewick/net/AcceptGate.java
+++ b/src/main/java/nettlewick/net/AcceptGate.java
@@ -3,7 +3,10 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFactory;
 import io.netty.channel.ServerChannel;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.impl.transports.NioTransport;
 import io.vertx.core.transport.Transport;
 import java.net.SocketAddress;
@@ -12,6 +15,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
@@ -20,6 +24,10 @@
  * bound, newcomers wait in the kernel's queue until a connection is closed.
  */
 final class AcceptGate implements Transport {
+    /** How often, and how many times at the most, it is looked whether the kernel's queue is empty; in ms. */
+    private static final long LOOK = 20;
+    private static final int LOOKS = 50;
+
     private volatile int most;
     private final AtomicInteger open = new AtomicInteger();
     private final Set<Channel> listeners = ConcurrentHashMap.newKeySet();
@@ -30,6 +38,9 @@
     }
 
     private final class GatedChannel extends NioServerSocketChannel {
+        /** Nothing waited in the kernel's queue when it was last read. */
+        private boolean emptied;
+
         GatedChannel() {
             listeners.add(this);
         }
@@ -43,22 +54,19 @@
         }
 
         /**
-         * Takes all that waits in the kernel's queue, then listens no more. Danger: the kernel resets what a
-         * closed listener has not accepted.
+         * Takes all that waits in the kernel's queue, as fast as the bound lets it, then listens no more: the
+         * kernel resets what a closed listener has not accepted.
          */
-        private void closeEmptied() {
-            List<Object> waiting = new ArrayList<>();
-            try {
-                while (super.doReadMessages(waiting) > 0) {
-                    open.incrementAndGet();
-                }
-            } catch (Exception e) {
-                // what could not be accepted is lost with the listener
+        private void closeOnceEmpty(Runnable closed, int looks) {
+            emptied = false;
+            if (isOpen()) {
+                ((AbstractNioChannel.NioUnsafe) unsafe()).read();
             }
-            close();
-            for (Object child : waiting) {
-                ((Channel) child).closeFuture().addListener(f -> leave());
-                pipeline().fireChannelRead(child);
+            if (emptied || looks == 0 || !isOpen()) {
+                close();
+                closed.run();
+            } else {
+                eventLoop().schedule(() -> closeOnceEmpty(closed, looks - 1), LOOK, TimeUnit.MILLISECONDS);
             }
         }
 
@@ -78,22 +86,27 @@
                 if (accepted.size() > before) {
                     ((Channel) accepted.get(before)).closeFuture().addListener(f -> leave());
                 } else {
+                    emptied = true;
                     leave();
                 }
             }
         }
     }
 
-    /** Accepts nothing new; connections that are open stay so. */
-    void close() {
-        listeners.forEach(Channel::close);
-    }
-
-    /** Accepts what waits already, whatever the bound, and nothing new. */
-    void closeEmptied() {
+    /**
+     * Accepts what waits already, within the bound, and nothing new; connections that are open stay so. Done
+     * once all that was accepted has been handed to the event loop that serves it, or what waits has had its
+     * time.
+     */
+    Future<Void> closeOnceEmpty() {
+        List<Future<Void>> closed = new ArrayList<>();
         for (Channel channel : listeners) {
-            channel.eventLoop().execute(((GatedChannel) channel)::closeEmptied);
+            Promise<Void> one = Promise.promise();
+            closed.add(one.future());
+            GatedChannel listener = (GatedChannel) channel;
+            listener.eventLoop().execute(() -> listener.closeOnceEmpty(one::tryComplete, LOOKS));
         }
+        return Future.join(closed).mapEmpty();
     }
 
     /** From now on so many connections may be open. */
--- a/src/main/java/nettlewick/net/Call.java
+++ b/src/main/java/nettlewick/net/Call.java
@@ -36,6 +36,19 @@
     /** The answer's body has come to its end. */
     abstract void answered();
 
+    /** Whether it may still be sent: asked in each turn that writes some of it. */
+    boolean mayBegin() {
+        return true;
+    }
+
+    /**
+     * For how long, in milliseconds, a kept connection has to have rested before this call may use it: a late
+     * second answer to the request before would be taken for the answer to this one.
+     */
+    double rest() {
+        return 0;
+    }
+
     /** Whether it may be sent once more by itself if the kept connection it was written to turns out dead. */
     boolean harmless() {
         return false;
@@ -48,8 +61,11 @@
         return state.phase() == CallState.Phase.OVER;
     }
 
-    /** A connection is there: sends the request on it. */
+    /** A connection is there: sends the request on it, if it may still go. */
     void write(Subchannel.Link on) {
+        if (!over() && !mayBegin()) {
+            finish(Result.MOOT, null, null);
+        }
         if (!state.write()) {
             on.free(this);
             return;
@@ -81,9 +97,16 @@
         });
     }
 
+    /** Sends the last part. Without its last byte a request never runs on a connection that is closed. */
     private void end(HttpClientRequest request, Buffer rest) {
-        if (!over()) {
+        if (over()) {
+            return;
+        }
+        if (mayBegin()) {
             request.end(rest).onSuccess(v -> whole());
+        } else {
+            finish(Result.MOOT, null, null);
+            link.close();
         }
     }
 
--- a/src/main/java/nettlewick/net/CallAttempt.java
+++ b/src/main/java/nettlewick/net/CallAttempt.java
@@ -16,6 +16,9 @@
     /** A result is 64 KiB at most, and JSON may write a byte of it in six. */
     private static final int LINE_MOST = 6 * 65536 + 4096;
 
+    /** A second answer to one request comes some milliseconds after the first; at most this many. */
+    private static final double SECOND_ANSWER = 50;
+
     private final Attempt attempt;
 
     CallAttempt(Attempt attempt, Subchannels subchannels) {
@@ -39,6 +42,16 @@
         return head;
     }
 
+    @Override
+    boolean mayBegin() {
+        return attempt.mayBegin(subchannels.now());
+    }
+
+    @Override
+    double rest() {
+        return subchannels.config().mayRepeat(attempt.request().jobClass()) ? 0 : SECOND_ANSWER;
+    }
+
     @Override
     Buffer body() {
         return ((Rpc) attempt.request().cargo()).body();
@@ -63,6 +76,12 @@
     private void line(String text) {
         try {
             Fields f = Fields.parse("a line", text);
+            if (f.has("id") && !f.text("id").equals(attempt.request().id())) {
+                // Meant for another request: what became of this one is not known, and it is served by
+                // nobody.
+                finish(Result.ERROR, null, null);
+                return;
+            }
             Load load = f.has("load") ? LoadReport.of(f.part("load")) : null;
             switch (f.text("state")) {
                 case "started" -> subchannels.core().progress(attempt, 0);
--- a/src/main/java/nettlewick/net/ClientGuard.java
+++ b/src/main/java/nettlewick/net/ClientGuard.java
@@ -1,6 +1,7 @@
 package nettlewick.net;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufHolder;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -8,6 +9,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.ChannelPromise;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.HttpContent;
@@ -16,29 +18,35 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.concurrent.TimeUnit;
 import nettlewick.core.Clock;
 
 /**
  * Stands between a client's bytes and the server: only whole requests in order pass, one at a time. All else
- * is refused here, before anything is made for it. Lives on the event loop.
+ * is refused here, before anything is made for it; what was read before it gets its own answer first. Ends
+ * the connection by a lingering close. Lives on the event loop; its states are those of {@link ClientState}.
  */
 final class ClientGuard extends ChannelDuplexHandler {
     /** Whole requests that may wait behind the one that is worked on. */
     private static final int WAITING_MOST = 4;
+    /** The end of a connection stands behind what was sent before it: one read for that, one for the end. */
+    private static final int READS_FOR_AN_END = 2;
+    /** What a request gets that was read whole and stands before one that is refused. Harmless to repeat. */
+    private static final HeadCheck.Refusal STANDS_BEFORE =
+            new HeadCheck.Refusal(429, "what came behind it is refused");
     /** Bytes read after a refusal, so that it is not eaten by a reset; then the client's sending stalls. */
     private static final long REST_MOST = 256 * 1024;
     private static final ByteBuf CONTINUE = Unpooled.unreleasableBuffer(Unpooled.copiedBuffer(
             "HTTP/1.1 100 Continue\r\n\r\n", StandardCharsets.US_ASCII)).asReadOnly();
 
     /** A request that has come whole. */
-    private record Whole(HttpRequest head, ByteBuf body) {
+    private record Whole(HttpRequest head, ByteBuf body, double arrivedAt) {
     }
 
     /** Bytes of requests held for all clients together. */
@@ -65,12 +73,14 @@
     private ByteBuf body;
     private int held;
     private long rest;
-    private boolean answering;
+    /** Why nothing more is taken; null while requests are. Written once the request in work is answered. */
+    private HeadCheck.Refusal refusal;
+    private double arrivedAt;
     private boolean job;
     private boolean result;
     private boolean closes;
     /** Whether the client itself asked for the connection's end. */
-    private boolean wanted;
+    private boolean clientCloses;
 
     ClientGuard(Clock clock, Budget budget) {
         this.clock = clock;
@@ -95,7 +105,7 @@
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object read) {
         try {
-            if (state.phase() == ClientState.Phase.REFUSED || state.phase() == ClientState.Phase.CLOSED) {
+            if (refusal != null || !state.takesRequests()) {
                 skip(read);
                 return;
             }
@@ -111,9 +121,11 @@
     }
 
     private void skip(Object read) {
-        rest += read instanceof ByteBuf bytes ? bytes.readableBytes() : 0;
+        rest += read instanceof ByteBuf bytes ? bytes.readableBytes()
+                : read instanceof ByteBufHolder holder ? holder.content().readableBytes() : 0;
         if (rest > REST_MOST) {
-            // Danger: 60 MB read only to be thrown away would take the turns of the usual clients.
+            // 60 MB read only to be thrown away would take the turns of the usual clients. While a request is
+            // in work, sweep() reads on in portions: a connection that is not read never shows its end.
             context.channel().config().setAutoRead(false);
         }
     }
@@ -149,12 +161,31 @@
         }
         body.writeBytes(content.content());
         if (content instanceof LastHttpContent) {
-            waiting.addLast(new Whole(head, body));
+            waiting.addLast(new Whole(head, body, clock.now()));
             head = null;
         }
     }
 
-    /** All that was there is read. Danger: passed on sooner, the first of a flood would be dispatched. */
+    /** When the last byte of the request in work was read, in milliseconds. */
+    double arrivedAt() {
+        return arrivedAt;
+    }
+
+    /**
+     * Whether the client is still connected. Its end may have come with its request, or while the event loop
+     * was busy, and wait unread: the socket is read here and now, in the turn that asks.
+     */
+    boolean connected() {
+        Channel channel = context.channel();
+        for (int i = 0; i < READS_FOR_AN_END && channel.isActive() && channel.config().isAutoRead(); i++) {
+            if (channel.unsafe() instanceof AbstractNioChannel.NioUnsafe unsafe) {
+                unsafe.read();
+            }
+        }
+        return channel.isActive();
+    }
+
+    /** All that was there is read. Passed on sooner, the first requests of a flood would be dispatched. */
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
         next();
@@ -162,12 +193,12 @@
     }
 
     private void next() {
-        if (!waiting.isEmpty() && state.whole()) {
+        if (refusal == null && !waiting.isEmpty() && state.begin()) {
             Whole whole = waiting.pollFirst();
             letGo(whole.body().readableBytes());
-            answering = false;
-            wanted = whole.head().headers().contains(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE,
-                    true);
+            arrivedAt = whole.arrivedAt();
+            clientCloses = whole.head().headers().contains(HttpHeaderNames.CONNECTION,
+                    HttpHeaderValues.CLOSE, true);
             job = HttpMethod.POST.equals(whole.head().method());
             context.fireChannelRead(whole.head());
             context.fireChannelRead(new DefaultLastHttpContent(whole.body()));
@@ -181,101 +212,147 @@
 
     @Override
     public void write(ChannelHandlerContext ctx, Object written, ChannelPromise promise) {
-        boolean last = written instanceof LastHttpContent;
         if (written instanceof HttpResponse response) {
-            answering = true;
-            result = job && response.status().code() == Call.OK;
-            closes = response.headers().contains(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE, true);
-            if (closes && !wanted && (!waiting.isEmpty() || head != null)) {
-                // What the client has sent behind it is answered first; the last answer says it.
-                response.headers().remove(HttpHeaderNames.CONNECTION);
-                closes = false;
-            }
+            beginAnswer(response);
         }
-        ctx.write(written, promise);
-        if (last && closes) {
-            // Said, then done: a client that overlooks the word would use the connection again. One that
-            // asked for the end itself has nothing on its way, and is spared the longer parting.
-            boolean asked = wanted;
-            promise.unvoid().addListener(f -> {
-                if (asked) {
-                    close();
-                } else {
-                    part();
-                }
-            });
+        boolean last = written instanceof LastHttpContent;
+        boolean ends = last && closes;
+        ChannelPromise done = ends ? promise.unvoid() : promise;
+        if (ends) {
+            // Before the write: whatever is read from here on is not taken any more.
+            state.close(clock.now());
+            done.addListener(f -> endOutput());
         }
-        if (last) {
-            state.answered(clock.now(), result);
-            // Danger: a request that is passed on here before the close would be sent on and never answered.
-            if (!closes && (!waiting.isEmpty() || head != null)) {
-                state.bytes(clock.now());
-                ctx.executor().execute(() -> {
-                    next();
-                    // Danger: without this word the server holds its answers back until more bytes come.
-                    ctx.fireChannelReadComplete();
-                });
-            }
+        ctx.write(written, done);
+        if (last && !ends) {
+            answered(ctx);
         }
     }
 
-    /** Answers from here and closes, so that the client can read the answer. */
+    private void beginAnswer(HttpResponse response) {
+        result = job && response.status().code() == Call.OK;
+        closes = response.headers().contains(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE, true);
+        boolean more = !waiting.isEmpty() || head != null || refusal != null;
+        if (closes && !clientCloses && more) {
+            // What the client has sent behind it is answered first; the last answer says that it is the last.
+            response.headers().remove(HttpHeaderNames.CONNECTION);
+            closes = false;
+        }
+    }
+
+    /** An answer that is not the last one is written: the next request's turn. */
+    private void answered(ChannelHandlerContext ctx) {
+        state.answered(clock.now(), result);
+        if (refusal != null) {
+            writeRefusal();
+        } else if (!waiting.isEmpty() || head != null) {
+            state.bytes(clock.now());
+            ctx.executor().execute(() -> {
+                next();
+                // Without this word the server holds its answers back until more bytes come.
+                ctx.fireChannelReadComplete();
+            });
+        }
+    }
+
+    /**
+     * Takes nothing more from this client. The request in work gets its own answer first, and each that was
+     * read whole and waits behind it a harmless refusal; then comes this one, and the connection ends.
+     */
     void refuse(int status, String message) {
-        boolean midway = answering && state.phase() == ClientState.Phase.WORKING;
-        if (!state.refuse(clock.now())) {
+        if (!state.takesRequests() || refusal != null) {
             return;
         }
-        drop();
-        if (midway) {
-            context.close();
-            return;
+        refusal = new HeadCheck.Refusal(status, message);
+        head = null;
+        body = null;
+        stopParsing();
+        if (state.phase() != ClientState.Phase.ANSWERING) {
+            writeRefusal();
         }
+    }
+
+    private void writeRefusal() {
+        String text = STANDS_BEFORE.text(false).repeat(waiting.size()) + refusal.text(true);
+        state.close(clock.now());
+        drop();
+        // From the first handler on: what is written there passes by the server's own answers.
+        context.pipeline().firstContext().writeAndFlush(ByteBufUtil.writeAscii(context.alloc(), text))
+                .addListener(f -> endOutput());
+    }
+
+    private void stopParsing() {
         if (context.pipeline().get(StrictDecoder.class) != null) {
             context.pipeline().remove(StrictDecoder.class);
         }
-        String text = "HTTP/1.1 " + HttpResponseStatus.valueOf(status)
-                + "\r\nContent-Type: text/plain\r\nContent-Length: " + (message.length() + 1)
-                + "\r\nConnection: close\r\n\r\n" + message + "\n";
-        Channel channel = context.channel();
-        // From the first handler on: what is written there passes by the server's own answers.
-        context.pipeline().firstContext().writeAndFlush(ByteBufUtil.writeAscii(context.alloc(), text))
-                .addListener(f -> {
-                    if (channel instanceof DuplexChannel duplex) {
-                        duplex.shutdownOutput();
-                    }
-                });
+    }
+
+    private boolean unread() {
+        ChannelOutboundBuffer out = context.channel().unsafe().outboundBuffer();
+        return out != null && out.totalPendingWriteBytes() > 0;
     }
 
     /** Ends the connection if its time is over. */
     void sweep(double now) {
-        ChannelOutboundBuffer out = context.channel().unsafe().outboundBuffer();
-        boolean unread = out != null && out.totalPendingWriteBytes() > 0;
+        boolean unread = unread();
         if (!state.late(now, unread)) {
-            return;
-        }
-        if (state.phase() == ClientState.Phase.READING) {
+            readOn();
+        } else if (state.phase() == ClientState.Phase.READING) {
             refuse(408, "the request took too long to come");
+        } else if (state.phase() == ClientState.Phase.WAITING && !unread) {
+            endOutput();
         } else {
             close();
         }
     }
 
+    /** The next portion of what is thrown away while a request is in work. */
+    private void readOn() {
+        if (refusal != null && state.phase() == ClientState.Phase.ANSWERING) {
+            rest = 0;
+            context.channel().config().setAutoRead(true);
+        }
+    }
+
+    /** Ends the connection if nothing is owed on it, nothing is on its way, and its last answer is out. */
+    void endIfQuiet(double now) {
+        if (state.quiet(now) && !unread()) {
+            endOutput();
+        }
+    }
+
     /**
-     * Says that nothing more will be answered, and reads what still comes without taking it. Danger: a close
-     * over unread bytes resets the connection, and the client may lose the answer before it has read it.
+     * Says that nothing more will be answered, and reads what still comes without taking it: a close over
+     * unread bytes resets the connection, and the client may lose the answer before it has read it.
      */
-    void part() {
-        if (state.refuse(clock.now())) {
-            drop();
-            if (context.channel() instanceof DuplexChannel duplex) {
-                duplex.shutdownOutput();
-            } else {
-                context.close();
-            }
+    private void endOutput() {
+        if (!state.linger(clock.now())) {
+            return;
+        }
+        drop();
+        stopParsing();
+        if (context.channel() instanceof DuplexChannel duplex) {
+            duplex.shutdownOutput();
+        } else if (refusal == null) {
+            // A channel that cannot be shut one way only.
+            context.close();
+        }
+    }
+
+    /** The server's own close after a last answer: the lingering close that has begun does it. */
+    @Override
+    public void close(ChannelHandlerContext ctx, ChannelPromise promise) {
+        boolean lingers = state.phase() == ClientState.Phase.CLOSING
+                || state.phase() == ClientState.Phase.LINGERING;
+        if (lingers && ctx.channel() instanceof DuplexChannel) {
+            long linger = (long) ClientState.LINGER;
+            ctx.executor().schedule(() -> ctx.close(promise), linger, TimeUnit.MILLISECONDS);
+        } else {
+            ctx.close(promise);
         }
     }
 
-    /** Danger: the channel tells of its end only later; until then it would be chosen to make way again. */
+    /** Closes at once. The channel tells of its end only later; until then it would be chosen again. */
     void close() {
         state.closed();
         context.close();
--- a/src/main/java/nettlewick/net/ClientState.java
+++ b/src/main/java/nettlewick/net/ClientState.java
@@ -1,23 +1,44 @@
 package nettlewick.net;
 
 /**
- * How far a client's connection has come with its present request, and when its patience here is over. Holds
- * no socket, so that a model can be checked against it; times are the caller's, in milliseconds.
+ * The states of one client connection and when its time in each is over. Holds no socket, so that a model can
+ * be checked against it; times are the caller's, in milliseconds.
+ *
+ * <pre>
+ * WAITING ---bytes--> READING ---begin--> ANSWERING ---answered--> WAITING
+ *    |                   |                    |
+ *    |                   +-------close--------+--close--> CLOSING --linger--> LINGERING --closed--> CLOSED
+ *    +---------------------linger------------------------------------------------^
+ * </pre>
+ *
+ * <p>An event that a state does not name leaves it as it is. From CLOSING on no request is taken any more.
  */
 final class ClientState {
     /** What the connection is at. */
-    enum Phase { WAITING, READING, WORKING, REFUSED, CLOSED }
+    enum Phase {
+        /** Idle: everything that came is answered. */
+        WAITING,
+        /** A request has begun to come. */
+        READING,
+        /** One request has been handed on and owes its answer. */
+        ANSWERING,
+        /** The last answer has been written and is not on the socket yet. */
+        CLOSING,
+        /** Shut for writing; what still comes is read and thrown away. */
+        LINGERING,
+        CLOSED
+    }
 
     /**
-     * From connecting, or from a later request's first byte, to its last one. Danger: a client that sends
-     * nothing, or a byte now and then, would hold its connection for good; it is owed an end within 3 s.
+     * From connecting, or from a later request's first byte, to its last one. A client that sends nothing, or
+     * a byte now and then, would hold its connection for good; it is owed an end within 3 s.
      */
     static final double READ = 2400;
     /** A connection that was served and asks nothing more; one that was served nothing has READ. */
     static final double IDLE = 60_000;
     /** An answer that the client does not take from its socket. */
     static final double UNREAD = 5000;
-    /** From a refusal to the close, in which the client can read it. */
+    /** From the end of writing to the close, in which the client can read its last answer. */
     static final double LINGER = 1000;
 
     /** At the planned end: a client that goes on asking has sent its next request by then. */
@@ -38,54 +59,73 @@
         return phase;
     }
 
+    /** Whether requests are still taken from this connection. */
+    boolean takesRequests() {
+        return phase == Phase.WAITING || phase == Phase.READING || phase == Phase.ANSWERING;
+    }
+
     /** Some bytes of a request have come. */
     void bytes(double now) {
         if (phase == Phase.WAITING) {
-            phase = Phase.READING;
-            // Danger: counted from its first byte, a first request sent late could use the time twice.
-            since = answers == 0 ? openedAt : now;
+            // Counted from its first byte, a first request sent late could use the time twice.
+            move(Phase.READING, answers == 0 ? openedAt : now);
         }
     }
 
     /** A request is here, whole and in order. False if the connection cannot take it now. */
-    boolean whole() {
+    boolean begin() {
         boolean takes = phase == Phase.READING;
-        phase = takes ? Phase.WORKING : phase;
+        if (takes) {
+            phase = Phase.ANSWERING;
+        }
         return takes;
     }
 
-    /** Its answer has been handed to the socket. */
+    /** Its answer has been handed to the socket, and is not the last one. */
     void answered(double now, boolean result) {
-        if (phase == Phase.WORKING) {
-            phase = Phase.WAITING;
-            since = now;
+        if (phase == Phase.ANSWERING) {
+            move(Phase.WAITING, now);
             answers++;
             served += result ? 1 : 0;
         }
     }
 
-    /** Refused here; true once only, and never after the end. */
-    boolean refuse(double now) {
-        if (phase == Phase.REFUSED || phase == Phase.CLOSED) {
-            return false;
+    /** The last answer is written. True once only, and never after the end. */
+    boolean close(double now) {
+        boolean first = takesRequests();
+        if (first) {
+            move(Phase.CLOSING, now);
         }
-        phase = Phase.REFUSED;
-        since = now;
-        return true;
+        return first;
+    }
+
+    /** The socket is shut for writing, with the last answer on it or with none owed. True once only. */
+    boolean linger(double now) {
+        boolean first = phase == Phase.CLOSING || phase == Phase.WAITING;
+        if (first) {
+            move(Phase.LINGERING, now);
+        }
+        return first;
     }
 
     void closed() {
         phase = Phase.CLOSED;
     }
 
+    private void move(Phase to, double now) {
+        phase = to;
+        since = now;
+    }
+
     /** Whether it is time to end the connection; {@code unread} tells that an answer waits to be written. */
     boolean late(double now, boolean unread) {
         double age = now - since;
         return switch (phase) {
             case WAITING -> age >= (unread ? UNREAD : served == 0 ? READ : IDLE);
             case READING -> age >= READ;
-            case REFUSED -> age >= LINGER;
-            case WORKING, CLOSED -> false;
+            case CLOSING -> age >= UNREAD;
+            case LINGERING -> age >= LINGER;
+            case ANSWERING, CLOSED -> false;
         };
     }
 
@@ -100,8 +140,8 @@
     }
 
     /** Whether the client has had its time to see that the connection ends, at this front's own end. */
-    boolean parted(double now) {
-        return phase == Phase.REFUSED && now - since >= QUIET;
+    boolean lingered(double now) {
+        return phase == Phase.LINGERING && now - since >= QUIET;
     }
 
     /** How much a connection that may make way deserves to stay: the least makes way first. */
--- a/src/main/java/nettlewick/net/Config.java
+++ b/src/main/java/nettlewick/net/Config.java
@@ -180,6 +180,12 @@
                 adminAddr);
     }
 
+    /** Whether a job of this class may run more than once without harm. */
+    boolean mayRepeat(String jobClass) {
+        return settings.classes().stream().anyMatch(c -> c.name().equals(jobClass)
+                && c.repeat() == Repeat.RETRYABLE);
+    }
+
     /** True if this is a class of the settings. */
     boolean hasClass(String name) {
         return settings.classes().stream().anyMatch(c -> c.name().equals(name));
--- a/src/main/java/nettlewick/net/HeadCheck.java
+++ b/src/main/java/nettlewick/net/HeadCheck.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
@@ -17,6 +18,12 @@
 
     /** What is wrong, and the status for it. */
     record Refusal(int status, String message) {
+        /** The whole answer, in ASCII; {@code last} says that the connection ends with it. */
+        String text(boolean last) {
+            return "HTTP/1.1 " + HttpResponseStatus.valueOf(status)
+                    + "\r\nContent-Type: text/plain\r\nContent-Length: " + (message.length() + 1)
+                    + (last ? "\r\nConnection: close" : "") + "\r\n\r\n" + message + "\n";
+        }
     }
 
     private HeadCheck() {
--- a/src/main/java/nettlewick/net/HttpFront.java
+++ b/src/main/java/nettlewick/net/HttpFront.java
@@ -60,11 +60,10 @@
             double now = base.clock().now();
             boolean closesIdle = base.state().closesIdle(now);
             List.copyOf(connections.values()).forEach(guard -> {
-                if (closesIdle && guard.state().quiet(now)) {
-                    guard.part();
-                } else {
-                    guard.sweep(now);
+                if (closesIdle) {
+                    guard.endIfQuiet(now);
                 }
+                guard.sweep(now);
             });
             for (int over = connections.size() - most; over > 0; over--) {
                 makeWay(null);
@@ -75,6 +74,18 @@
     /** Answers a request, or sees to it that it is answered. */
     protected abstract void handle(HttpServerRequest request);
 
+    /** When the last byte of a connection's request in work was read, in milliseconds on the clock. */
+    protected final double arrivedAt(HttpServerRequest request) {
+        ClientGuard guard = connections.get(request.connection());
+        return guard == null ? base.clock().now() : guard.arrivedAt();
+    }
+
+    /** Whether the client of a request in work is still connected, by what its socket says now. */
+    protected final boolean connected(HttpServerRequest request) {
+        ClientGuard guard = connections.get(request.connection());
+        return guard != null && guard.connected();
+    }
+
     /** A connection is closed. */
     protected void closed(HttpConnection connection) {
     }
@@ -140,9 +151,8 @@
         // says that it is the last.
         double now = base.clock().now();
         for (ClientGuard guard : List.copyOf(connections.values())) {
-            if (guard.state().quiet(now)) {
-                guard.part();
-            } else if (guard.state().parted(now)) {
+            guard.endIfQuiet(now);
+            if (guard.state().lingered(now)) {
                 guard.close();
             }
         }
--- a/src/main/java/nettlewick/net/IdlePool.java
+++ b/src/main/java/nettlewick/net/IdlePool.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Iterator;
 import java.util.function.Consumer;
 import java.util.function.DoubleSupplier;
 
@@ -29,9 +30,20 @@
 
     /** The connection used last; null if none is young enough. */
     T take(double now) {
+        return take(now, 0);
+    }
+
+    /** The connection used last of those that have rested for so many milliseconds; null for none. */
+    T take(double now, double rest) {
         expire(now);
-        Idle<T> newest = idle.pollLast();
-        return newest == null ? null : newest.link();
+        for (Iterator<Idle<T>> newestFirst = idle.descendingIterator(); newestFirst.hasNext();) {
+            Idle<T> one = newestFirst.next();
+            if (now - one.since() >= rest) {
+                newestFirst.remove();
+                return one.link();
+            }
+        }
+        return null;
     }
 
     /** Closes what has idled too long. */
--- a/src/main/java/nettlewick/net/ListClock.java
+++ b/src/main/java/nettlewick/net/ListClock.java
@@ -23,12 +23,25 @@
     /** An agent that has answered once, with a warm client: connection and first word in this time. */
     private static final double KNOWN_FIRST = 700;
 
+    /**
+     * A first word that stops halfway, on a call that replaces a broken one: given up so early twice, so that
+     * two such calls and the pauses between leave time for a third. An agent that is only slow is then waited
+     * for.
+     */
+    private static final double HALF_WORD = 800;
+    private static final int CUT_SHORT = 2;
+
     private final AskPause pause;
     private final double silence;
     private final double told;
     /** Whether this address has ever said a word. */
     private boolean known;
     private boolean heard;
+    private boolean spoke;
+    /** Whether a call before this one has failed, or was to another address. */
+    private boolean replaces;
+    /** Calls in a row that were given up in the middle of their first word. */
+    private int halfWords;
     private double deadline = Double.POSITIVE_INFINITY;
     private double saidAt = Double.NaN;
     private double missedAt = Double.NaN;
@@ -58,6 +71,7 @@
     /** A call begins: it has to connect and bring its first word in time. */
     void opens(double now) {
         heard = false;
+        spoke = false;
         deadline = now + (known && !pause.asked() ? KNOWN_FIRST : pause.first());
     }
 
@@ -65,13 +79,16 @@
     void part(double now) {
         if (!heard) {
             heard = true;
-            deadline = now + silence;
+            boolean cutShort = replaces && !pause.asked() && halfWords < CUT_SHORT;
+            deadline = now + (cutShort ? HALF_WORD : silence);
         }
     }
 
     /** A whole word has come, an empty line too. */
     void word(double now) {
         heard = true;
+        spoke = true;
+        halfWords = 0;
         known = true;
         missedAt = Double.NaN;
         deadline = now + silence;
@@ -94,6 +111,8 @@
      */
     double broken(double now) {
         deadline = Double.POSITIVE_INFINITY;
+        replaces = true;
+        halfWords += heard && !spoke ? 1 : 0;
         missedAt = Double.isNaN(missedAt) ? saidAt : missedAt;
         double left = missedAt + told - now - pause.first();
         return pause.next(left > 0 ? left : Double.POSITIVE_INFINITY);
@@ -102,6 +121,8 @@
     /** Discovery is at another address now, of which nothing is known. */
     void moved() {
         known = false;
+        replaces = true;
+        halfWords = 0;
         missedAt = Double.NaN;
         saidAt = Double.NaN;
         deadline = Double.POSITIVE_INFINITY;
--- a/src/main/java/nettlewick/net/Node.java
+++ b/src/main/java/nettlewick/net/Node.java
@@ -64,7 +64,7 @@
     final BanStore bans;
     private final int clients;
     private final int perFront;
-    private final AcceptGate gate;
+    final AcceptGate gate;
     final Context loop;
     /** When the process that is to succeed this one started; NaN: none is. */
     private double heirAt = Double.NaN;
@@ -281,6 +281,11 @@
         return WarmUp.sockets(subchannels.client(), own).onComplete(v -> warm = true);
     }
 
+    /** The ways in, for tests. */
+    List<Front> fronts() {
+        return fronts;
+    }
+
     /** The ports held, in the order of the fronts. */
     public List<Integer> ports() {
         return ports;
@@ -336,13 +341,15 @@
             state.end(successor);
             core.part(began + kill);
             if (successor) {
-                gate.closeEmptied();
+                gate.closeOnceEmpty();
                 peers.close();
-            } else {
-                vertx.setTimer(ACCEPT_ON, id -> gate.close());
             }
-            vertx.setTimer(ACCEPT_ON, id -> shut(began + kill - LAST_TAKEN, longest + SHUT_SPARE, done));
-            vertx.setTimer(Math.max(ACCEPT_ON, kill - LAST_ANSWERED), id -> core.endSince(began + ACCEPT_ON));
+            // A connection that waits in the kernel's queue may hold a request: it is accepted before the
+            // end.
+            vertx.setTimer(ACCEPT_ON, id -> gate.closeOnceEmpty().onComplete(closed -> vertx.setTimer(LOOK,
+                    then -> shut(began + kill - LAST_TAKEN, longest + SHUT_SPARE, done))));
+            // All of it, also what came before the signal: a kill finds nothing that is owed an answer.
+            vertx.setTimer(Math.max(ACCEPT_ON, kill - LAST_ANSWERED), id -> core.endAll());
         });
         try {
             done.await(kill + longest + SHUT_SPARE, TimeUnit.MILLISECONDS);
--- a/src/main/java/nettlewick/net/PlatformFront.java
+++ b/src/main/java/nettlewick/net/PlatformFront.java
@@ -50,7 +50,7 @@
             request.response().putHeader("Allow", "POST");
             RpcReader.reject(request, 405, "jobs come by POST");
         } else {
-            reader.read(request, clock.now(), draft -> take(request, draft));
+            reader.read(request, arrivedAt(request), draft -> take(request, draft));
         }
     }
 
@@ -76,6 +76,11 @@
         tap.request(http, draft.rpc().body());
         Figures.Ticket ticket = core.figures().taken(draft.jobClass());
         Request request = draft.with(new Request.Caller() {
+            @Override
+            public boolean present() {
+                return !response.closed() && connected(http) && !response.closed();
+            }
+
             @Override
             public void receipt(Books.Receipt receipt) {
                 loop.runOnContext(v -> ticket.owe(receipt));
--- a/src/main/java/nettlewick/net/ResolverWatch.java
+++ b/src/main/java/nettlewick/net/ResolverWatch.java
@@ -129,6 +129,11 @@
         if (news.whole() || news.seq() > seq) {
             seq = news.seq();
             sink.accept(news);
+        } else if (news.seq() < seq) {
+            // Discovery has started anew and counts from the beginning: its changes mean nothing without its
+            // list.
+            seq = -1;
+            broken(mine, "versions start anew");
         }
     }
 
--- a/src/main/java/nettlewick/net/Subchannel.java
+++ b/src/main/java/nettlewick/net/Subchannel.java
@@ -95,6 +95,7 @@
     private double startedAt;
     private boolean banned;
     private int open;
+    private volatile int changes;
 
     Subchannel(String host, Subchannels subchannels) {
         this.host = host;
@@ -102,8 +103,14 @@
         idle = new IdlePool<>(() -> subchannels.config().connIdle() * IDLE_PART, Link::close);
     }
 
+    /** How often discovery has told of it. */
+    int changes() {
+        return changes;
+    }
+
     /** Takes news of the runner over. */
     void update(ResolverResult.Host news) {
+        changes++;
         boolean moved = news.dial() != null && !news.dial().equals(dial);
         if (moved || news.entry().startedAt() != startedAt || news.entry().life() != Life.READY) {
             // A process that started anew knows nothing of its former connections.
@@ -150,7 +157,8 @@
             call.finish(Result.FULL, null, null);
             return;
         }
-        Link link = call.harmless() || subchannels.gauge().trusts() ? idle.take(subchannels.now()) : null;
+        Link link = call.harmless() || subchannels.gauge().trusts()
+                ? idle.take(subchannels.now(), call.rest()) : null;
         if (link != null) {
             use(link, call);
         } else {
@@ -170,10 +178,13 @@
     private void connect(Call call) {
         open++;
         subchannels.opened(1);
+        subchannels.opening(1);
         double began = subchannels.now();
+        double chosen = startedAt;
         HttpConnectOptions options = new HttpConnectOptions().setServer(dial).setHost(dial.hostAddress())
                 .setPort(dial.port()).setSsl(false);
         subchannels.client().connect(options).onComplete(result -> {
+            subchannels.opening(-1);
             if (result.failed()) {
                 open--;
                 subchannels.opened(-1);
@@ -183,8 +194,9 @@
             Link link = new Link(result.result(), subchannels.now() - began);
             if (call.over()) {
                 keep(link);
-            } else if (!ready()) {
-                // Danger: the runner began to drain while the connection came up; nothing new may go there.
+            } else if (!ready() || startedAt != chosen) {
+                // While the connection came up the runner began to drain and takes nothing new, or it started
+                // anew and what was chosen for a warm runner is not in its slow-start budget.
                 call.finish(Result.FULL, null, null);
                 keep(link);
             } else {
--- a/src/main/java/nettlewick/net/Subchannels.java
+++ b/src/main/java/nettlewick/net/Subchannels.java
@@ -35,6 +35,7 @@
     private final ReuseGauge gauge = new ReuseGauge();
     private Core core;
     private int open;
+    private volatile int opening;
     private boolean shared;
 
     Subchannels(Vertx vertx, Context loop, Config config, Clock clock, PeerSocket peers) {
@@ -96,6 +97,10 @@
         open += more;
     }
 
+    void opening(int more) {
+        opening += more;
+    }
+
     /** Connections to sim runners where so many descriptors are allowed and a third is for clients. */
     static int mostOpen(int sockets) {
         return Math.max(sockets / 8, sockets - sockets / Node.CLIENTS_PART - RESERVE);
@@ -216,6 +221,16 @@
         loop.runOnContext(v -> peers.send(rank, data));
     }
 
+    /** How many connections to runners are coming up. */
+    int opening() {
+        return opening;
+    }
+
+    /** How often discovery has told of this runner, for tests. */
+    int changes(String runner) {
+        return all.containsKey(runner) ? all.get(runner).changes() : 0;
+    }
+
     /** The hosts by name, for tests. */
     Iterable<String> hosts() {
         return new ArrayList<>(all.keySet());
--- a/src/main/java/nettlewick/sse/EdgeFront.java
+++ b/src/main/java/nettlewick/sse/EdgeFront.java
@@ -51,7 +51,7 @@
             http.response().putHeader("Allow", "POST");
             RpcReader.reject(http, 405, "jobs come by POST");
         } else {
-            reader.read(http, base.clock().now(), draft -> take(http, draft));
+            reader.read(http, arrivedAt(http), draft -> take(http, draft));
         }
     }
 
--- a/src/test/java/nettlewick/net/ClientGuardTest.java
+++ b/src/test/java/nettlewick/net/ClientGuardTest.java
@@ -205,6 +205,42 @@
         assertNull(channel.readOutbound());
     }
 
+    /** Guards against a planned end that throws away what a slow reader has not taken yet. */
+    @Test
+    void aConnectionIsNotEndedOverAnAnswerThatIsStillOnItsWay() {
+        send(GET);
+        channel.write(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK));
+        clock.set(1000 + ClientState.QUIET + 1);
+        guard.endIfQuiet(clock.now());
+        assertTrue(channel.isOpen(), "its answer is written and not on the socket yet");
+        channel.flush();
+        guard.endIfQuiet(clock.now());
+        assertFalse(channel.isOpen());
+    }
+
+    /** Guards against a request that is taken while the last answer of its connection is being written. */
+    @Test
+    void nothingIsTakenOnceTheLastAnswerIsWritten() {
+        send(GET);
+        passed();
+        DefaultFullHttpResponse last = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+        last.headers().set("Connection", "close");
+        channel.write(last);
+        send(GET);
+        assertEquals(List.of(), passed());
+        assertEquals(ClientState.Phase.CLOSING, guard.state().phase());
+    }
+
+    /** Guards against whole requests that end unanswered for what stands behind them, and against their dispatch. */
+    @Test
+    void whatWaitsBeforeGarbageIsRefusedInItsOrder() {
+        send(GET + GET.replace("/a", "/b") + "no request\r\n\r\n");
+        assertEquals(List.of(), passed());
+        String got = answers();
+        assertEquals(List.of("429", "429", "400"), java.util.regex.Pattern.compile("HTTP/1.1 (\\d+)").matcher(got).results()
+                .map(m -> m.group(1)).toList(), got);
+    }
+
     @Test
     void bodiesOfAllClientsTogetherAreBounded() {
         ClientGuard.Budget budget = new ClientGuard.Budget(10);
