Two crossings of the tests by a clock that stands: no verdict hangs on how busy the machine is

Seen on a loaded machine: the test of a late second answer failed where the next job came after 50 ms; and the test of a close over unread bytes passed without the mend, since the JDK ends the stream before it closes. Both hold the clock now, and the second one writes after the end, which a closed connection would reset.

--- a/src/test/java/nettlewick/net/CrossingsTest.java
+++ b/src/test/java/nettlewick/net/CrossingsTest.java
@@ -7,6 +7,7 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.google.gson.Gson;
 import io.vertx.core.Promise;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServerRequest;
@@ -16,6 +17,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
+import nettlewick.core.Clock;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -56,6 +58,14 @@
         return port;
     }
 
+    /** Starts a dispatcher whose time is the test's; the test closes it. */
+    private Node start(Clock clock) throws Exception {
+        Node node = new Node(Config.of(new Gson().toJson(config), Map.of()), clock, PlatformFront::new);
+        StandIns.get(node.start());
+        until(() -> healthy(node.ports().get(0)));
+        return node;
+    }
+
     private static boolean healthy(int port) {
         try (RawClient client = new RawClient(port)) {
             return client.send(HEALTH).read().status() == 200;
@@ -158,13 +168,18 @@
         until(() -> !world.node().fronts().get(0).connected());
     }
 
-    /** Guards against a close over unread bytes, which resets the connection under the answer just written. */
+    /**
+     * Guards against a close over unread bytes, which resets the connection under the answer just written. The clock
+     * stands, so that the lingering close has no end of its own.
+     */
     @Test
     void aLastAnswerIsNotCutOffByBytesThatLieUnread() throws Exception {
         world.addRunner("s-1");
         List<HttpServerRequest> held = holdJobs();
-        int port = start();
-        Node node = world.node();
+        double start = System.currentTimeMillis();
+        Clock clock = Clock.standing(start);
+        Node node = start(clock);
+        int port = node.ports().get(0);
         try (RawClient client = new RawClient(port)) {
             client.send(job("/api", "a", "mark-submit", "", "Connection: close").toString()
                     .replace("X-Deadline: 4", "X-Deadline: 0.5"));
@@ -178,6 +193,7 @@
             stands.await();
             client.send("\r\nbytes that nobody asked for");
             // The core ends the request at its deadline; the answer waits behind the loop's halt, the bytes unread.
+            clock.set(start + 600);
             boolean[] ended = new boolean[1];
             while (!ended[0]) {
                 CompletableFuture<Integer> open = new CompletableFuture<>();
@@ -187,7 +203,11 @@
             release.countDown();
             assertEquals(502, client.read().status());
             assertNull(client.read(), "ended in good order");
+            client.send("more");
+            round(port);
+            client.send("and more: a connection that was closed would be reset by now");
         }
+        StandIns.get(node.close());
     }
 
     /** Guards against a request that is forwarded after the end of its idle connection. */
@@ -391,13 +411,17 @@
         }
     }
 
-    /** Guards against a late second answer that is taken for the answer to the next request on the connection. */
+    /**
+     * Guards against a late second answer that is taken for the answer to the next request on the connection. The clock
+     * stands: no connection has rested when the next job comes.
+     */
     @Test
     void aSecondAnswerOnARestingConnectionIsNobodys() throws Exception {
         limit("probes", false);
         try (RawRunner runner = new RawRunner().open()) {
             world.addRunner("s-1", runner.port());
-            int port = start();
+            Node node = start(Clock.standing(System.currentTimeMillis()));
+            int port = node.ports().get(0);
             Promise<Void> twice = Promise.promise();
             runner.script = (request, socket) -> {
                 RawRunner.write(socket, RawRunner.served(request.id()));
@@ -421,6 +445,7 @@
             }
             assertEquals(List.of("a", "b", "c"), runner.ids());
             assertNotEquals(runner.seen.get(0).connection(), runner.seen.get(1).connection());
+            StandIns.get(node.close());
         }
     }
 
