An idle connection is closed, not shut and read on: a request that crosses its end is not taken

What is read counts as taken.

An idle connection's socket is read once more and, if nothing has come, closed: the client of a crossing request is told by the reset and sends it elsewhere, as the protocol has it. The lingering close stays for a connection's last answer. The test writes after the end and wants the reset; with the lingering close it waits for it in vain (the old test's form).

--- a/src/main/java/nettlewick/net/ClientGuard.java
+++ b/src/main/java/nettlewick/net/ClientGuard.java
@@ -299,11 +299,7 @@
             readOn();
         } else if (state.phase() == ClientState.Phase.READING) {
             refuse(408, "the request took too long to come");
-        } else if (state.phase() == ClientState.Phase.WAITING && !unread) {
-            if (stillIdle()) {
-                endOutput();
-            }
-        } else {
+        } else if (unread || state.phase() != ClientState.Phase.WAITING || stillIdle()) {
             close();
         }
     }
@@ -316,10 +312,13 @@
         }
     }
 
-    /** Ends the connection if nothing is owed on it, nothing has come, and its last answer is out. */
-    void endIfQuiet(double now) {
+    /**
+     * Closes the connection if nothing is owed on it, nothing has come, and its last answer is out. It is not
+     * read any more: a request that crosses the close is never taken, and its client learns so by a reset.
+     */
+    void closeIfQuiet(double now) {
         if (state.quiet(now) && !unread() && stillIdle()) {
-            endOutput();
+            close();
         }
     }
 
@@ -329,7 +328,7 @@
     }
 
     /**
-     * Says that nothing more will be answered, and reads what still comes without taking it: a close over
+     * After the last answer: says that nothing more comes, and reads on without taking anything. A close over
      * unread bytes resets the connection, and the client may lose the answer before it has read it.
      */
     private void endOutput() {
--- a/src/main/java/nettlewick/net/ClientState.java
+++ b/src/main/java/nettlewick/net/ClientState.java
@@ -8,7 +8,7 @@
  * WAITING ---bytes--> READING ---begin--> ANSWERING ---answered--> WAITING
  *    |                   |                    |
  *    |                   +-------close--------+--close--> CLOSING --linger--> LINGERING --closed--> CLOSED
- *    +---------------------linger------------------------------------------------^
+ *    +---------------------closed----------------------------------------------------------------------^
  * </pre>
  *
  * <p>An event that a state does not name leaves it as it is. From CLOSING on no request is taken any more.
@@ -99,9 +99,9 @@
         return first;
     }
 
-    /** The socket is shut for writing, with the last answer on it or with none owed. True once only. */
+    /** The socket is shut for writing, with the last answer on it. True once only. */
     boolean linger(double now) {
-        boolean first = phase == Phase.CLOSING || phase == Phase.WAITING;
+        boolean first = phase == Phase.CLOSING;
         if (first) {
             move(Phase.LINGERING, now);
         }
--- a/src/main/java/nettlewick/net/HttpFront.java
+++ b/src/main/java/nettlewick/net/HttpFront.java
@@ -63,7 +63,7 @@
             boolean closesIdle = base.state().closesIdle(now);
             List.copyOf(connections.values()).forEach(guard -> {
                 if (closesIdle) {
-                    guard.endIfQuiet(now);
+                    guard.closeIfQuiet(now);
                 }
                 guard.sweep(now);
             });
@@ -160,7 +160,7 @@
         // says that it is the last.
         double now = base.clock().now();
         for (ClientGuard guard : List.copyOf(connections.values())) {
-            guard.endIfQuiet(now);
+            guard.closeIfQuiet(now);
             if (guard.state().lingered(now)) {
                 guard.close();
             }
