Time that a request waits unread counts: while the event loop is held up, its client's time runs

A beat of 50 ms on the event loop tells whether it is held up; if the beat is over 10 ms late, what is read then counts from the last beat. The test holds the loop for half a second over a request; it was seen to fail without.

--- a/src/main/java/nettlewick/net/ClientGuard.java
+++ b/src/main/java/nettlewick/net/ClientGuard.java
@@ -25,6 +25,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.concurrent.TimeUnit;
+import java.util.function.DoubleSupplier;
 import nettlewick.core.Clock;
 
 /**
@@ -65,6 +66,8 @@
     }
 
     private final Clock clock;
+    /** The earliest time at which what is read now may have come. */
+    private final DoubleSupplier cameAt;
     private final Budget budget;
     private final ClientState state;
     private final Deque<Whole> waiting = new ArrayDeque<>();
@@ -83,7 +86,13 @@
     private boolean clientCloses;
 
     ClientGuard(Clock clock, Budget budget) {
+        this(clock, clock::now, budget);
+    }
+
+    /** {@code cameAt} tells the earliest time at which what is read now may have come. */
+    ClientGuard(Clock clock, DoubleSupplier cameAt, Budget budget) {
         this.clock = clock;
+        this.cameAt = cameAt;
         this.budget = budget;
         state = new ClientState(clock.now());
     }
@@ -161,12 +170,12 @@
         }
         body.writeBytes(content.content());
         if (content instanceof LastHttpContent) {
-            waiting.addLast(new Whole(head, body, clock.now()));
+            waiting.addLast(new Whole(head, body, cameAt.getAsDouble()));
             head = null;
         }
     }
 
-    /** When the last byte of the request in work was read, in milliseconds. */
+    /** When the last byte of the request in work came, at the earliest; in milliseconds. */
     double arrivedAt() {
         return arrivedAt;
     }
--- a/src/main/java/nettlewick/net/HttpFront.java
+++ b/src/main/java/nettlewick/net/HttpFront.java
@@ -35,6 +35,9 @@
     private static final int MAKE_WAY_TRIES = 4;
     private static final long SWEEP = 20;
     private static final long LOOK = 100;
+    /** How often the event loop shows that it runs, and how late that may be before it counts as held up. */
+    private static final long BEAT = 50;
+    private static final double LATE = 10;
 
     protected final Base base;
     private final Vertx vertx;
@@ -42,8 +45,10 @@
     private final HttpServer server;
     private final int most;
     private final long look;
+    private final long beat;
     private final ClientGuard.Budget budget = new ClientGuard.Budget(HELD_MOST);
     private final Map<HttpConnection, ClientGuard> connections = new LinkedHashMap<>();
+    private double beatAt;
 
     /** {@code sendBuffer} bounds what the kernel holds for a slow reader; -1 leaves it to the kernel. */
     protected HttpFront(Base base, SocketAddress listen, int sendBuffer) {
@@ -58,6 +63,8 @@
         server.exceptionHandler(e -> { });
         server.connectionHandler(this::opened);
         server.requestHandler(this::handle);
+        beatAt = base.clock().now();
+        beat = vertx.setPeriodic(BEAT, id -> beatAt = base.clock().now());
         look = vertx.setPeriodic(LOOK, id -> {
             double now = base.clock().now();
             boolean closesIdle = base.state().closesIdle(now);
@@ -76,7 +83,16 @@
     /** Answers a request, or sees to it that it is answered. */
     protected abstract void handle(HttpServerRequest request);
 
-    /** When the last byte of a connection's request in work was read, in milliseconds on the clock. */
+    /**
+     * The earliest time at which what is read now may have come. While the event loop is held up, requests
+     * wait unread in their sockets and their clients' time runs: it counts from when the loop last ran.
+     */
+    private double cameAt() {
+        double now = base.clock().now();
+        return now - beatAt > BEAT + LATE ? beatAt : now;
+    }
+
+    /** When the last byte of a connection's request in work came, in milliseconds on the clock. */
     protected final double arrivedAt(HttpServerRequest request) {
         ClientGuard guard = connections.get(request.connection());
         return guard == null ? base.clock().now() : guard.arrivedAt();
@@ -94,7 +110,7 @@
 
     private void opened(HttpConnection connection) {
         Channel channel = ((ConnectionBase) connection).channel();
-        ClientGuard guard = new ClientGuard(base.clock(), budget);
+        ClientGuard guard = new ClientGuard(base.clock(), this::cameAt, budget);
         connections.put(connection, guard);
         connection.exceptionHandler(e -> { });
         connection.closeHandler(v -> {
@@ -167,6 +183,7 @@
         }
         if (connections.isEmpty() || left <= 0) {
             vertx.cancelTimer(look);
+            vertx.cancelTimer(beat);
             done.tryComplete();
         } else {
             vertx.setTimer(SWEEP, id -> sweep(done, left - SWEEP));
--- a/src/test/java/nettlewick/net/CrossingsTest.java
+++ b/src/test/java/nettlewick/net/CrossingsTest.java
@@ -409,6 +409,36 @@
         }
     }
 
+    /** Guards against time that a request waits unread in its socket while the event loop is held up. */
+    @Test
+    void theTimeARequestWaitsUnreadCounts() throws Exception {
+        limit("probes", false);
+        try (RawRunner runner = new RawRunner().open()) {
+            world.addRunner("s-1", runner.port());
+            int port = start();
+            long[] came = new long[1];
+            runner.script = (request, socket) -> {
+                came[0] = System.nanoTime();
+                RawRunner.write(socket, RawRunner.served(request.id()));
+            };
+            try (RawClient client = new RawClient(port)) {
+                CountDownLatch stands = new CountDownLatch(1);
+                CountDownLatch release = new CountDownLatch(1);
+                world.node().loop.runOnContext(v -> {
+                    stands.countDown();
+                    await(release);
+                });
+                stands.await();
+                long sent = System.nanoTime();
+                client.send(job("/api", "unread", "step-view", ""));
+                until(() -> System.nanoTime() - sent > 500_000_000L);
+                release.countDown();
+                assertEquals("r-unread", client.read().body());
+                assertTold(4, sent, came[0], runner.seen.get(0));
+            }
+        }
+    }
+
     /** Guards against one request's result in another's answer. */
     @Test
     void aLineForAnotherRequestServesNobody() throws Exception {
