A keyed job is not repeated on a connection that comes up after its window

The module decides inside the window; what is written later was not checked. Not traced by a log of that request: forced on real sockets instead, where the second runner got the job after its window.

An attempt knows until when it may begin: the deadline, and for a keyed job the end of the window, counted from the first attempt that may have run. Checked in the turn that writes, like the rest. The test was seen to fail without it (200 in place of 502).

--- a/src/main/java/nettlewick/core/Attempt.java
+++ b/src/main/java/nettlewick/core/Attempt.java
@@ -8,16 +8,23 @@
 public final class Attempt extends Outgoing {
     private final Request request;
     private final int number;
+    private final double lastBegin;
     private final BooleanSupplier open;
+    private boolean neverRan;
     private double startedAt = Double.NaN;
     private double endedAt = Double.NaN;
     private double share;
 
-    /** {@code open} tells, on any thread, whether the request's end is still undecided. */
-    Attempt(Request request, int number, String worker, double sentAt, BooleanSupplier open) {
+    /**
+     * @param lastBegin until when it may begin, in milliseconds
+     * @param open      tells, on any thread, whether the request's end is still undecided
+     */
+    Attempt(Request request, int number, String worker, double sentAt, double lastBegin,
+            BooleanSupplier open) {
         super(worker, sentAt);
         this.request = request;
         this.number = number;
+        this.lastBegin = lastBegin;
         this.open = open;
     }
 
@@ -34,7 +41,7 @@
      * and time is left. Asked in the turn that writes, by whoever owns the client's connection.
      */
     public boolean mayBegin(double now) {
-        return open.getAsBoolean() && now < request.deadline() && request.caller().present();
+        return open.getAsBoolean() && now < lastBegin && request.caller().present();
     }
 
     /** The worker tells that it has begun; only its first word counts. */
@@ -63,8 +70,15 @@
         return Double.isNaN(endedAt) ? 0 : span(endedAt, false);
     }
 
-    void endedAt(double at) {
+    /** Its end, and whether it is proved that it never ran. */
+    void endedAt(double at, boolean never) {
         endedAt = at;
+        neverRan = never;
+    }
+
+    /** Whether it has run, may have, or may yet. */
+    boolean mayHaveRun() {
+        return !over() || !neverRan;
     }
 
     /** Whether its start was told. */
--- a/src/main/java/nettlewick/core/Core.java
+++ b/src/main/java/nettlewick/core/Core.java
@@ -152,8 +152,7 @@
     private void endNow(Open o) {
         answer(o);
         batch.add(new Abandoned(o.request.id()));
-        boolean harmless = o.attempts.isEmpty() || settings.classes().stream().anyMatch(c ->
-                c.name().equals(o.request.jobClass()) && c.repeat() == Repeat.RETRYABLE);
+        boolean harmless = o.attempts.isEmpty() || o.jobClass.repeat() == Repeat.RETRYABLE;
         if (harmless) {
             refuse(o.request, o, settings.limits().retryAfter() ? RESTART : 0);
         } else {
@@ -230,7 +229,7 @@
             refuse(r, null, 0);
             return;
         }
-        Open o = new Open(r);
+        Open o = new Open(r, jobClass(r));
         open.put(r.id(), o);
         unanswered++;
         witness.asked(r);
@@ -245,6 +244,12 @@
         }
     }
 
+    /** The fronts let no other class in. */
+    private JobClass jobClass(Request r) {
+        return settings.classes().stream().filter(c -> c.name().equals(r.jobClass())).findFirst()
+                .orElseThrow();
+    }
+
     /** Hands a request to the module. */
     private void hand(Open o) {
         Request r = o.request;
@@ -274,7 +279,7 @@
         if (!a.end()) {
             return;
         }
-        a.endedAt(at);
+        a.endedAt(at, outcome.result().neverRan);
         witness.ended(a, outcome.result());
         Request r = a.request();
         Open o = open.get(r.id());
@@ -367,7 +372,7 @@
             return;
         }
         Request r = o.request;
-        Attempt a = new Attempt(r, o.attempts.size(), d.worker(), now, () -> !o.answered);
+        Attempt a = new Attempt(r, o.attempts.size(), d.worker(), now, o.lastBegin(), () -> !o.answered);
         o.attempts.add(a);
         if (o.answered || now >= r.deadline() || a.number() >= settings.limits().attempts()) {
             end(a, Attempt.Outcome.of(Result.MOOT), now);
--- a/src/test/java/nettlewick/core/Attempts.java
+++ b/src/test/java/nettlewick/core/Attempts.java
@@ -6,6 +6,6 @@
     }
 
     public static Attempt of(Request request, String worker) {
-        return new Attempt(request, 0, worker, 0, () -> true);
+        return new Attempt(request, 0, worker, 0, Double.MAX_VALUE, () -> true);
     }
 }
--- a/src/test/java/nettlewick/net/CrossingsTest.java
+++ b/src/test/java/nettlewick/net/CrossingsTest.java
@@ -439,6 +439,45 @@
         }
     }
 
+    /** Guards against a keyed job that is repeated after its window, since the connection came up late. */
+    @Test
+    @SuppressWarnings("unchecked")
+    void aKeyedJobIsNotRepeatedOnAConnectionThatComesUpAfterItsWindow() throws Exception {
+        limit("probes", false);
+        limit("connect_timeout", 10_000_000_000L);
+        Map<String, Object> settings = (Map<String, Object>) config.get("settings");
+        List<Map<String, Object>> classes = new ArrayList<>();
+        for (Object one : (List<?>) settings.get("classes")) {
+            Map<String, Object> changed = new HashMap<>((Map<String, Object>) one);
+            changed.put("window", 1_500_000_000L);
+            classes.add(changed);
+        }
+        settings.put("classes", classes);
+        try (RawRunner first = new RawRunner().open(); RawRunner second = new RawRunner().shut()) {
+            world.addRunner("s-1", first.port());
+            int port = start();
+            CountDownLatch listed = new CountDownLatch(1);
+            first.script = (request, socket) -> {
+                await(listed);
+                socket.close();
+            };
+            try (RawClient client = new RawClient(port)) {
+                long sent = System.nanoTime();
+                client.send(job("/api", "k", "save-run", "", "Idempotency-Key: K").toString()
+                        .replace("X-Deadline: 4", "X-Deadline: 12"));
+                until(() -> first.seen.size() == 1);
+                world.addRunner("s-2", second.port());
+                until(() -> world.node().subchannels.changes("s-2") == 1);
+                listed.countDown();
+                until(() -> world.node().subchannels.opening() == 1);
+                until(() -> System.nanoTime() - sent > 1_600_000_000L);
+                second.open();
+                assertEquals(502, client.read().status(), "it may have run, and cannot be repeated any more");
+                assertEquals(List.of(), second.ids());
+            }
+        }
+    }
+
     /** Guards against one request's result in another's answer. */
     @Test
     void aLineForAnotherRequestServesNobody() throws Exception {
