Tests of the crossings split by concern, none changed: closes, late connections, time told, answers

CrossingsTest (16 tests, 552 lines) becomes four classes on one base, CoreTest (20 tests, 441 lines) two on one fixture; the halt of the event loop, written three times, is one class.

--- /dev/null
+++ b/src/test/java/nettlewick/core/CoreFixture.java
@@ -0,0 +1,118 @@
+package nettlewick.core;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Function;
+import nettlewick.core.Attempt.Outcome;
+import nettlewick.decision.Dispatcher;
+import nettlewick.decision.Dispatcher.*;
+import org.junit.jupiter.api.BeforeEach;
+
+/** A core with a scripted module, a transport that only notes, and a clock that stands. */
+abstract class CoreFixture {
+    static final double START = 1_000_000;
+    final Clock clock = Clock.standing(START);
+    final List<Event> events = new ArrayList<>();
+    final List<String> out = new ArrayList<>();
+    final List<Attempt> sent = new ArrayList<>();
+    final List<nettlewick.core.Probe> asked = new ArrayList<>();
+    Function<Event, List<Action>> script = e -> List.of();
+    long decidedAt;
+    Core core;
+    /** What keeps the books; set before {@link #open} by tests that look at them. */
+    Books books = Books.NONE;
+
+    @BeforeEach
+    void open() throws InterruptedException {
+        Settings settings = new Settings(0, 1, null, List.of(new JobClass("c", Repeat.RETRYABLE, Scope.ALL,
+                0, 1,
+                0, 1, 1, 0, false, -1, 0)), List.of(), List.of(), false, false, Reports.OFF, 0,
+                new Limits(2, true, true, true, true, true, 0), new Rules(0, 0, 0, 1, 0, 0, 1));
+        Dispatcher module = (now, batch) -> {
+            decidedAt = now;
+            List<Action> actions = new ArrayList<>();
+            for (Event e : batch) {
+                events.add(e);
+                actions.addAll(script.apply(e));
+            }
+            return actions;
+        };
+        core = new Core(clock, settings, module, 2, new Transport() {
+            @Override
+            public void send(Attempt a) {
+                sent.add(a);
+                out.add("send " + a.request().id() + a.number());
+            }
+
+            @Override
+            public void drop(Attempt a) {
+                out.add("drop " + a.request().id() + a.number());
+            }
+
+            @Override
+            public void probe(nettlewick.core.Probe p) {
+                asked.add(p);
+            }
+
+            @Override
+            public void drop(nettlewick.core.Probe p) {
+                out.add("drop probe");
+            }
+
+            @Override
+            public void tell(int rank, byte[] data) {
+                out.add("tell " + rank);
+            }
+        }, books);
+        core.learn(new Roster(true, List.of(entry("w", Life.READY), entry("d", Life.DRAINING))));
+        at(0);
+    }
+
+    static Roster.Entry entry(String worker, Life life) {
+        return new Roster.Entry(worker, life, 2.5, 0, "k", "z", 1);
+    }
+
+    /** Sets the clock to so many milliseconds after the start and lets the core take what there is. */
+    void at(double millis) throws InterruptedException {
+        clock.set(START + millis);
+        for (int i = 0; i < 8; i++) {
+            core.turn(0);
+        }
+    }
+
+    Request request(String id, double deadline) {
+        return request(id, deadline, 1.5);
+    }
+
+    Request request(String id, double deadline, double hint) {
+        Request[] made = new Request[1];
+        made[0] = new Request(id, "c", null, null, START + deadline, 1, 0, hint, false, null,
+                new Request.Caller() {
+            @Override
+            public void served(byte[] result) {
+                out.add("served " + id);
+            }
+
+            @Override
+            public void refused(double retryAfter) {
+                out.add("refused " + id + " " + retryAfter);
+            }
+
+            @Override
+            public void failed(String reason) {
+                out.add("failed " + id);
+            }
+        });
+        core.submit(made[0]);
+        return made[0];
+    }
+
+    void onArrival(Action... actions) {
+        script = e -> e instanceof Arrival ? List.of(actions) : List.of();
+    }
+
+    List<Result> results() {
+        return events.stream().filter(e -> e instanceof Dispatcher.Outcome)
+                .map(e -> ((Dispatcher.Outcome) e).result()).toList();
+    }
+}
--- a/src/test/java/nettlewick/core/CoreTest.java
+++ b/src/test/java/nettlewick/core/CoreTest.java
@@ -5,110 +5,32 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.function.Function;
 import nettlewick.core.Attempt.Outcome;
 import nettlewick.decision.Dispatcher;
 import nettlewick.decision.Dispatcher.*;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
-/** The books of the core, with a scripted module, a transport that only notes, and a clock that stands. */
-class CoreTest {
-    private static final double START = 1_000_000;
-    private final Clock clock = Clock.standing(START);
-    private final List<Event> events = new ArrayList<>();
-    private final List<String> out = new ArrayList<>();
-    private final List<Attempt> sent = new ArrayList<>();
-    private final List<nettlewick.core.Probe> asked = new ArrayList<>();
-    private Function<Event, List<Action>> script = e -> List.of();
-    private long decidedAt;
-    private Core core;
-    /** What keeps the books; set before {@link #open} by tests that look at them. */
-    private Books books = Books.NONE;
-
-    @BeforeEach
-    void open() throws InterruptedException {
-        Settings settings = new Settings(0, 1, null, List.of(new JobClass("c", Repeat.RETRYABLE, Scope.ALL,
-                0, 1,
-                0, 1, 1, 0, false, -1, 0)), List.of(), List.of(), false, false, Reports.OFF, 0,
-                new Limits(2, true, true, true, true, true, 0), new Rules(0, 0, 0, 1, 0, 0, 1));
-        Dispatcher module = (now, batch) -> {
-            decidedAt = now;
-            List<Action> actions = new ArrayList<>();
-            for (Event e : batch) {
-                events.add(e);
-                actions.addAll(script.apply(e));
-            }
-            return actions;
-        };
-        core = new Core(clock, settings, module, 2, new Transport() {
-            @Override
-            public void send(Attempt a) {
-                sent.add(a);
-                out.add("send " + a.request().id() + a.number());
-            }
-
-            @Override
-            public void drop(Attempt a) {
-                out.add("drop " + a.request().id() + a.number());
-            }
-
-            @Override
-            public void probe(nettlewick.core.Probe p) {
-                asked.add(p);
-            }
-
-            @Override
-            public void drop(nettlewick.core.Probe p) {
-                out.add("drop probe");
-            }
-
-            @Override
-            public void tell(int rank, byte[] data) {
-                out.add("tell " + rank);
-            }
-        }, books);
-        core.learn(new Roster(true, List.of(entry("w", Life.READY), entry("d", Life.DRAINING))));
-        at(0);
-    }
-
-    private static Roster.Entry entry(String worker, Life life) {
-        return new Roster.Entry(worker, life, 2.5, 0, "k", "z", 1);
-    }
-
-    /** Sets the clock to so many milliseconds after the start and lets the core take what there is. */
-    private void at(double millis) throws InterruptedException {
-        clock.set(START + millis);
-        for (int i = 0; i < 8; i++) {
-            core.turn(0);
-        }
-    }
-
-    private Request request(String id, double deadline) {
-        return request(id, deadline, 1.5);
-    }
-
-    private Request request(String id, double deadline, double hint) {
-        Request[] made = new Request[1];
-        made[0] = new Request(id, "c", null, null, START + deadline, 1, 0, hint, false, null,
-                new Request.Caller() {
-            @Override
-            public void served(byte[] result) {
-                out.add("served " + id);
-            }
-
+/** The books of the core, with a scripted module. */
+class CoreTest extends CoreFixture {
+    /** A core whose books only note, and let answers go when the test says so. */
+    private List<Books.Job> kept(List<java.util.function.Consumer<Books.Receipt>> waiting, double patience)
+            throws InterruptedException {
+        List<Books.Job> jobs = new ArrayList<>();
+        books = new Books() {
             @Override
-            public void refused(double retryAfter) {
-                out.add("refused " + id + " " + retryAfter);
+            public Runnable settle(Job job, java.util.function.Consumer<Receipt> send) {
+                jobs.add(job);
+                waiting.add(send);
+                return () -> out.add("overdue " + job.request().id());
             }
 
             @Override
-            public void failed(String reason) {
-                out.add("failed " + id);
+            public double patience() {
+                return patience;
             }
-        });
-        core.submit(made[0]);
-        return made[0];
+        };
+        open();
+        return jobs;
     }
 
     /** Guards against long jobs lost with a process that is succeeded: see PartingTest for which. */
@@ -171,27 +93,6 @@
         assertEquals(List.of(true, false), saves);
     }
 
-    /** A core whose books only note, and let answers go when the test says so. */
-    private List<Books.Job> kept(List<java.util.function.Consumer<Books.Receipt>> waiting, double patience)
-            throws InterruptedException {
-        List<Books.Job> jobs = new ArrayList<>();
-        books = new Books() {
-            @Override
-            public Runnable settle(Job job, java.util.function.Consumer<Receipt> send) {
-                jobs.add(job);
-                waiting.add(send);
-                return () -> out.add("overdue " + job.request().id());
-            }
-
-            @Override
-            public double patience() {
-                return patience;
-            }
-        };
-        open();
-        return jobs;
-    }
-
     @Test
     void theBooksHearOfEachEndOnceWithWorkAndSpare() throws InterruptedException {
         List<java.util.function.Consumer<Books.Receipt>> waiting = new ArrayList<>();
@@ -245,61 +146,6 @@
         assertTrue(jobs.get(0).estimate());
     }
 
-    private void onArrival(Action... actions) {
-        script = e -> e instanceof Arrival ? List.of(actions) : List.of();
-    }
-
-    private List<Result> results() {
-        return events.stream().filter(e -> e instanceof Dispatcher.Outcome)
-                .map(e -> ((Dispatcher.Outcome) e).result()).toList();
-    }
-
-    /** Guards against a job failed here, after a pause, in the turn in which the module would refuse it. */
-    @Test
-    void theModuleHearsOfADeadlineBeforeTheCoreActsOnIt() throws InterruptedException {
-        script = e -> e instanceof Arrival ? List.of(new Dispatch("a", "w", 0))
-                : e instanceof Dispatcher.Outcome ? List.of(new Refuse("a", 0)) : List.of();
-        request("a", 100);
-        at(1);
-        at(200);
-        assertTrue(out.contains("refused a 0.0") && !out.contains("failed a"), out.toString());
-    }
-
-    /** Guards against a final answer that waits for a turn without news, which a flood on other connections never has. */
-    @Test
-    void theLastAnswerDoesNotWaitForTheFloodToEnd() throws InterruptedException {
-        request("a", 100);
-        at(0);
-        for (int turn = 0; turn < 3; turn++) {
-            core.heard(1, new byte[0]);
-            clock.set(START + 111 + turn);
-            core.turn(0);
-        }
-        assertEquals(List.of("failed a"), out);
-    }
-
-    /** Guards against a request that waited behind others until its time was up, and is told that it may have run. */
-    @Test
-    void whatComesAfterItsDeadlineWasNeverSentAndIsRefused() throws InterruptedException {
-        request("a", 0);
-        at(0);
-        assertEquals(List.of("refused a 0.0"), out);
-    }
-
-    /** Guards against an attempt that begins for a request whose end is decided, or whose time is up. */
-    @Test
-    void anAttemptMayBeginOnlyWhileItsRequestIsOpenAndTimeIsLeft() throws InterruptedException {
-        onArrival(new Dispatch("a", "w", 0));
-        Request a = request("a", 100);
-        at(0);
-        Attempt attempt = sent.get(0);
-        assertTrue(attempt.mayBegin(START + 99));
-        assertTrue(!attempt.mayBegin(START + 100));
-        core.abandon(a);
-        at(1);
-        assertTrue(!attempt.mayBegin(START + 2));
-    }
-
     @Test
     void timeIsTurnedIntoTheModulesNanosecondsHere() throws InterruptedException {
         request("a", 250.5);
@@ -311,46 +157,6 @@
         assertEquals(2_500_000, ((WorkerList) events.get(0)).entries().get(0).startedAt());
     }
 
-    /** Guards the rules of one outcome for each dispatch and one final answer for each request. */
-    @Test
-    void onlyTheFirstEndCounts() throws InterruptedException {
-        onArrival(new Dispatch("a", "w", 0), new Dispatch("a", "w", 0));
-        request("a", 1000);
-        at(0);
-        core.ended(sent.get(0), new Outcome(Result.SERVED, new byte[0], null));
-        core.ended(sent.get(0), Outcome.of(Result.BROKEN));
-        core.ended(sent.get(1), new Outcome(Result.SERVED, new byte[0], null));
-        at(2000);
-        assertEquals(List.of("send a0", "send a1", "served a"), out);
-        assertEquals(List.of(Result.SERVED, Result.SERVED), results());
-        assertTrue(events.stream().filter(e -> e instanceof Dispatcher.Outcome)
-                .allMatch(e -> ((Dispatcher.Outcome) e).settled()));
-    }
-
-    @Test
-    void anAttemptTimesOutAtItsTimeAndAtTheDeadlineAtTheLatest() throws InterruptedException {
-        onArrival(new Dispatch("a", "w", 50_000_000), new Dispatch("a", "w", 0));
-        request("a", 100);
-        at(0);
-        at(49.9);
-        assertEquals(List.of(), results());
-        at(50);
-        assertEquals(List.of(Result.TIMEOUT), results());
-        at(100);
-        assertEquals(List.of(Result.TIMEOUT, Result.TIMEOUT), results());
-        assertEquals(List.of("send a0", "send a1", "drop a0", "drop a1"), out);
-    }
-
-    /** Guards against a request that the module forgets: its client gets an answer all the same. */
-    @Test
-    void aRequestLeftOpenIsFailedAtItsDeadline() throws InterruptedException {
-        request("a", 100);
-        at(0);
-        at(111);
-        assertEquals(List.of("failed a"), out);
-        assertTrue(events.contains(new Abandoned("a")));
-    }
-
     /** Guards against one client's id in another's hands: the first is left alone, and nothing runs twice. */
     @Test
     void anIdIsTakenOnceWhileItsRequestIsOpenAndAfter() throws InterruptedException {
@@ -366,22 +172,6 @@
         assertEquals(List.of("send a0", "failed a", "served a", "failed a"), out);
     }
 
-    /** Guards against a kill that finds unanswered what was taken, before the signal or after it. */
-    @Test
-    void allThatIsOpenIsEndedBeforeTheKillAndWhatComesLaterIsRefused() throws InterruptedException {
-        script = e -> e instanceof Arrival a && a.id().equals("b") ? List.of(new Dispatch("b", "w", 0)) : List.of();
-        request("a", 5000);
-        at(0);
-        request("b", 5000);
-        at(10);
-        core.endAll();
-        at(20);
-        request("c", 5000);
-        at(30);
-        assertEquals(List.of("send b0", "refused a 1000.0", "refused b 1000.0", "refused c 1000.0"), out);
-        assertTrue(events.contains(new Abandoned("a")) && events.contains(new Abandoned("b")));
-    }
-
     @Test
     void nothingIsSentToARunnerThatDrainsOrIsUnknownNorBeyondTheCap() throws InterruptedException {
         onArrival(new Dispatch("a", "d", 0), new Dispatch("a", "x", 0), new Dispatch("a", "w", 0));
@@ -391,16 +181,6 @@
         assertEquals(List.of(), out);
     }
 
-    @Test
-    void anAbandonedRequestIsOwedNothingAndNotSentAnyMore() throws InterruptedException {
-        script = e -> e instanceof Abandoned ? List.of(new Dispatch("a", "w", 0), new Fail("a")) : List.of();
-        Request a = request("a", 100);
-        at(0);
-        core.abandon(a);
-        at(200);
-        assertEquals(List.of(), out);
-    }
-
     @Test
     void anIdThatIsOpenAndRequestsOverTheMostNeverReachTheModule() throws InterruptedException {
         request("a", 100);
--- /dev/null
+++ b/src/test/java/nettlewick/net/ClientCloseTest.java
@@ -0,0 +1,171 @@
+package nettlewick.net;
+
+import static nettlewick.net.StandIns.job;
+import static nettlewick.net.StandIns.until;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServerRequest;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import nettlewick.core.Clock;
+import org.junit.jupiter.api.Test;
+
+/** The end of a client's connection, and what crosses it: pipelined requests, garbage, floods, signals. */
+class ClientCloseTest extends Crossings {
+    /** Guards against a request in work that is answered for what stands behind it, and forwarded all the same. */
+    @Test
+    void whatIsInWorkIsAnsweredBeforeTheGarbageBehindIt() throws Exception {
+        world.addRunner("s-1");
+        List<HttpServerRequest> held = holdJobs();
+        int port = start();
+        try (RawClient client = new RawClient(port)) {
+            client.send(job("/api", "a", "mark-submit", ""));
+            until(() -> held.size() == 1);
+            client.send(GARBAGE);
+            round(port);
+            finish(held.get(0));
+            assertEquals("r-a", client.read().body());
+            assertEquals(400, client.read().status());
+            assertNull(client.read());
+        }
+        assertEquals(1, world.seen.size());
+    }
+
+    /** Guards against requests that were read whole and end with no answer, when more comes than may wait. */
+    @Test
+    void eachOfTooManyPipelinedRequestsGetsAnAnswerOfItsOwn() throws Exception {
+        world.addRunner("s-1");
+        List<HttpServerRequest> held = holdJobs();
+        int port = start();
+        try (RawClient client = new RawClient(port)) {
+            client.send(job("/api", "a", "step-view", ""));
+            until(() -> held.size() == 1);
+            Buffer more = Buffer.buffer();
+            for (int i = 0; i < 5; i++) {
+                more.appendBuffer(job("/api", "more-" + i, "step-view", ""));
+            }
+            client.send(more);
+            round(port);
+            finish(held.get(0));
+            List<Integer> statuses = new ArrayList<>();
+            for (RawClient.Answer answer = client.read(); answer != null; answer = client.read()) {
+                statuses.add(answer.status());
+            }
+            assertEquals(List.of(200, 429, 429, 429, 429, 429), statuses);
+        }
+        assertEquals(1, world.seen.size(), "none of those that were refused went on");
+    }
+
+    /** Guards against a flood behind a request in work that hides its client's departure. */
+    @Test
+    void aFloodBehindARequestInWorkDoesNotHideThatItsClientLeaves() throws Exception {
+        world.addRunner("s-1");
+        List<HttpServerRequest> held = holdJobs();
+        int port = start();
+        RawClient client = new RawClient(port);
+        client.send(job("/api", "a", "step-view", "").toString().replace("X-Deadline: 4", "X-Deadline: 40"));
+        until(() -> held.size() == 1);
+        // More than the kernel holds for a connection that is not read: its end stands behind all of it.
+        CompletableFuture<Void> flood = CompletableFuture.runAsync(() -> {
+            try {
+                client.send(GARBAGE + "x".repeat(8 << 20));
+                client.close();
+            } catch (java.io.IOException e) {
+                throw new java.io.UncheckedIOException(e);
+            }
+        });
+        flood.get();
+        until(() -> !world.node().fronts().get(0).connected());
+    }
+
+    /**
+     * Guards against a close over unread bytes, which resets the connection under the answer just written. The clock
+     * stands, so that the lingering close has no end of its own.
+     */
+    @Test
+    void aLastAnswerIsNotCutOffByBytesThatLieUnread() throws Exception {
+        world.addRunner("s-1");
+        List<HttpServerRequest> held = holdJobs();
+        double start = System.currentTimeMillis();
+        Clock clock = Clock.standing(start);
+        Node node = start(clock);
+        int port = node.ports().get(0);
+        try (RawClient client = new RawClient(port)) {
+            client.send(job("/api", "a", "mark-submit", "", "Connection: close").toString()
+                    .replace("X-Deadline: 4", "X-Deadline: 0.5"));
+            until(() -> held.size() == 1);
+            HeldLoop loop = new HeldLoop(node);
+            client.send("\r\nbytes that nobody asked for");
+            // The core ends the request at its deadline; the answer waits behind the loop's halt, the bytes unread.
+            clock.set(start + 600);
+            boolean[] ended = new boolean[1];
+            while (!ended[0]) {
+                CompletableFuture<Integer> open = new CompletableFuture<>();
+                node.core.unanswered(open::complete);
+                ended[0] = open.get() == 0;
+            }
+            loop.release();
+            assertEquals(502, client.read().status());
+            assertNull(client.read(), "ended in good order");
+            client.send("more");
+            round(port);
+            client.send("and more: a connection that was closed would be reset by now");
+        }
+        StandIns.get(node.close());
+    }
+
+    /**
+     * Guards against a request that crosses the end of its idle connection and is read and dropped, or forwarded: it is
+     * never taken, and its client is told so by the reset.
+     */
+    @Test
+    void aRequestThatCrossesTheEndOfAnIdleConnectionIsNeverTaken() throws Exception {
+        world.addRunner("s-1");
+        int port = start();
+        try (RawClient client = new RawClient(port)) {
+            assertNull(client.read(), "a connection that asks nothing is ended");
+            client.send(job("/api", "b", "step-view", "1"));
+            round(port);
+            assertThrows(java.io.IOException.class, () -> {
+                for (int i = 0; i < 100; i++) {
+                    client.send("x");
+                    round(port);
+                }
+            }, "the client is told that nobody reads it");
+        }
+        try (RawClient client = new RawClient(port)) {
+            assertEquals(200, client.send(job("/api", "a", "step-view", "1")).read().status());
+            CompletableFuture<Void> end = CompletableFuture.runAsync(world.node()::shutDown);
+            assertNull(client.read(), "so is a resting one at the planned end");
+            client.send(job("/api", "c", "step-view", "1"));
+            end.get();
+        }
+        assertEquals(1, world.seen.size());
+    }
+
+    /** Guards against a connection that the kernel has accepted and the end of the listener resets. */
+    @Test
+    void whatWaitsInTheKernelsQueueIsAnsweredBeforeTheEnd() throws Exception {
+        world.addRunner("s-1");
+        int port = start();
+        Node node = world.node();
+        try (RawClient first = new RawClient(port)) {
+            assertEquals(200, first.send(HEALTH).read().status());
+            node.gate.bound(1);
+            try (RawClient second = new RawClient(port)) {
+                second.send(job("/api", "b", "step-view", "1"));
+                round(first);
+                node.gate.bound(8);
+                CompletableFuture<Void> end = CompletableFuture.runAsync(node::shutDown);
+                assertEquals("r-b", second.read().body());
+                first.close();
+                second.close();
+                end.get();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/nettlewick/net/CrossedAnswersTest.java
@@ -0,0 +1,86 @@
+package nettlewick.net;
+
+import static nettlewick.net.StandIns.job;
+import static nettlewick.net.StandIns.until;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+
+import io.vertx.core.Promise;
+import java.util.List;
+import nettlewick.core.Clock;
+import org.junit.jupiter.api.Test;
+
+/** Answers and lists that are meant for another request, or for another time. */
+class CrossedAnswersTest extends Crossings {
+    /** Guards against one request's result in another's answer. */
+    @Test
+    void aLineForAnotherRequestServesNobody() throws Exception {
+        limit("probes", false);
+        try (RawRunner runner = new RawRunner().open()) {
+            world.addRunner("s-1", runner.port());
+            int port = start();
+            runner.script = (request, socket) -> RawRunner.write(socket, RawRunner.served("another"));
+            try (RawClient client = new RawClient(port)) {
+                RawClient.Answer answer = client.send(job("/api", "mine", "mark-submit", "")).read();
+                assertEquals(502, answer.status(), answer.body());
+            }
+            assertEquals(List.of("mine"), runner.ids(), "it may have run, and is not sent again");
+        }
+    }
+
+    /**
+     * Guards against a late second answer that is taken for the answer to the next request on the connection. The clock
+     * stands: no connection has rested when the next job comes.
+     */
+    @Test
+    void aSecondAnswerOnARestingConnectionIsNobodys() throws Exception {
+        limit("probes", false);
+        try (RawRunner runner = new RawRunner().open()) {
+            world.addRunner("s-1", runner.port());
+            Node node = start(Clock.standing(System.currentTimeMillis()));
+            int port = node.ports().get(0);
+            Promise<Void> twice = Promise.promise();
+            runner.script = (request, socket) -> {
+                RawRunner.write(socket, RawRunner.served(request.id()));
+                if (request.id().equals("a")) {
+                    twice.future().onComplete(v -> {
+                        try {
+                            RawRunner.write(socket, "HTTP/1.1 503 No\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n");
+                        } catch (java.io.IOException e) {
+                            // The connection is closed by now.
+                        }
+                    });
+                }
+            };
+            try (RawClient client = new RawClient(port)) {
+                assertEquals("r-a", client.send(job("/api", "a", "mark-submit", "")).read().body());
+                // The next one that must not run twice comes at once: it takes a connection of its own.
+                assertEquals("r-b", client.send(job("/api", "b", "mark-submit", "")).read().body());
+                twice.complete();
+                round(port);
+                assertEquals("r-c", client.send(job("/api", "c", "mark-submit", "")).read().body());
+            }
+            assertEquals(List.of("a", "b", "c"), runner.ids());
+            assertNotEquals(runner.seen.get(0).connection(), runner.seen.get(1).connection());
+            StandIns.get(node.close());
+        }
+    }
+
+    /** Guards against changes that are passed over for ever because discovery counts from the beginning again. */
+    @Test
+    void aDiscoveryWhoseVersionsStartAnewIsAskedForItsWholeList() throws Exception {
+        world.addRunner("s-1");
+        int port = start();
+        world.startVersionsAnew();
+        world.tell("s-1", "Terminating");
+        until(() -> world.watches.size() >= 2);
+        assertEquals("/catalog/members?watch=1", world.watches.get(1));
+        until(() -> {
+            try (RawClient client = new RawClient(port)) {
+                return client.send(job("/api", "x" + System.nanoTime(), "mark-submit", "1")).read().status() == 503;
+            } catch (java.io.IOException e) {
+                return false;
+            }
+        });
+    }
+}
--- /dev/null
+++ b/src/test/java/nettlewick/net/Crossings.java
@@ -0,0 +1,121 @@
+package nettlewick.net;
+
+import static nettlewick.net.StandIns.job;
+import static nettlewick.net.StandIns.until;
+
+import com.google.gson.Gson;
+import io.vertx.core.http.HttpServerRequest;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import nettlewick.core.Clock;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Timeout;
+
+/** A dispatcher among stand-ins, for tests that force requests, answers, ends and signals to cross, on real sockets. */
+@Timeout(30)
+abstract class Crossings {
+    static final String HEALTH = "GET /_health HTTP/1.1\r\nHost: x\r\n\r\n";
+    static final String GARBAGE = "no request at all\r\n\r\n";
+    StandIns world;
+    Map<String, Object> config;
+
+    @BeforeEach
+    final void open() throws Exception {
+        world = new StandIns();
+        config = world.config();
+    }
+
+    @AfterEach
+    final void close() {
+        world.close();
+    }
+
+    /** Sets one of the settings' limits; connections come up as late as a test wants, probes stay out of the way. */
+    @SuppressWarnings("unchecked")
+    void limit(String name, Object value) {
+        Map<String, Object> settings = (Map<String, Object>) config.get("settings");
+        Map<String, Object> limits = new HashMap<>((Map<String, Object>) settings.get("ceilings"));
+        limits.put(name, value);
+        settings.put("ceilings", limits);
+    }
+
+    int start() throws Exception {
+        Node node = world.start(config);
+        int port = node.ports().get(0);
+        until(() -> healthy(port));
+        return port;
+    }
+
+    /** Starts a dispatcher whose time is the test's; the test closes it. */
+    Node start(Clock clock) throws Exception {
+        Node node = new Node(Config.of(new Gson().toJson(config), Map.of()), clock, PlatformFront::new);
+        StandIns.get(node.start());
+        until(() -> healthy(node.ports().get(0)));
+        return node;
+    }
+
+    static boolean healthy(int port) {
+        try (RawClient client = new RawClient(port)) {
+            return client.send(HEALTH).read().status() == 200;
+        } catch (java.io.IOException e) {
+            return false;
+        }
+    }
+
+    /** The event loop has been round: whatever was in its sockets before this call has been handled. */
+    static void round(int port) throws Exception {
+        try (RawClient client = new RawClient(port)) {
+            for (int i = 0; i < 3; i++) {
+                client.send(HEALTH).read();
+            }
+        }
+    }
+
+    static void round(RawClient client) throws Exception {
+        for (int i = 0; i < 3; i++) {
+            client.send(HEALTH).read();
+        }
+    }
+
+    /** A runner that holds each job until the test lets it go. */
+    List<HttpServerRequest> holdJobs() {
+        List<HttpServerRequest> held = new java.util.concurrent.CopyOnWriteArrayList<>();
+        world.instead = held::add;
+        return held;
+    }
+
+    static void finish(HttpServerRequest job) {
+        String id = job.getHeader("X-Request-Id");
+        job.response().setChunked(true).end("{\"id\":\"" + id + "\",\"from\":\"s-1\",\"state\":\"done\",\"result\":\"r-"
+                + id + "\"}\n");
+    }
+
+    static void await(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** The event loop of a dispatcher, made to stand still. */
+    static final class HeldLoop {
+        private final CountDownLatch release = new CountDownLatch(1);
+
+        HeldLoop(Node node) throws InterruptedException {
+            CountDownLatch stands = new CountDownLatch(1);
+            node.loop.runOnContext(v -> {
+                stands.countDown();
+                await(release);
+            });
+            stands.await();
+        }
+
+        void release() {
+            release.countDown();
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/nettlewick/net/LateConnectionTest.java
@@ -0,0 +1,128 @@
+package nettlewick.net;
+
+import static nettlewick.net.StandIns.job;
+import static nettlewick.net.StandIns.until;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import org.junit.jupiter.api.Test;
+
+/** What has changed by the time a connection to a runner is up: client, runner, window. */
+class LateConnectionTest extends Crossings {
+    /** Guards against an attempt that begins when a connection comes up after its client has gone. */
+    @Test
+    void nothingIsSentOnAConnectionThatComesUpAfterTheClientHasGone() throws Exception {
+        limit("probes", false);
+        limit("connect_timeout", 10_000_000_000L);
+        try (RawRunner runner = new RawRunner().shut()) {
+            world.addRunner("s-1", runner.port());
+            int port = start();
+            RawClient gone = new RawClient(port);
+            gone.send(job("/api", "gone", "mark-submit", ""));
+            until(() -> world.node().subchannels.opening() == 1);
+            gone.close();
+            until(() -> !world.node().fronts().get(0).connected());
+            runner.open();
+            until(() -> runner.accepted.size() == 1);
+            round(port);
+            try (RawClient stays = new RawClient(port)) {
+                assertEquals("r-stays", stays.send(job("/api", "stays", "step-view", "")).read().body());
+            }
+            assertEquals(List.of("stays"), runner.ids());
+            assertEquals(1, runner.accepted.size(), "the connection that came up serves the next job");
+        }
+    }
+
+    /** Guards against a departure that waits unread in the client's socket while its request is sent on. */
+    @Test
+    void anEndThatCameWithTheRequestIsSeenBeforeItIsSentOn() throws Exception {
+        limit("probes", false);
+        limit("connect_timeout", 10_000_000_000L);
+        try (RawRunner runner = new RawRunner().shut()) {
+            world.addRunner("s-1", runner.port());
+            int port = start();
+            RawClient gone = new RawClient(port);
+            gone.send(job("/api", "gone", "mark-submit", ""));
+            until(() -> world.node().subchannels.opening() == 1);
+            HeldLoop loop = new HeldLoop(world.node());
+            // While the loop stands still, the connection to the runner comes up and the client leaves after it.
+            runner.open();
+            until(() -> runner.accepted.size() == 1);
+            gone.close();
+            loop.release();
+            round(port);
+            try (RawClient stays = new RawClient(port)) {
+                assertEquals("r-stays", stays.send(job("/api", "stays", "step-view", "")).read().body());
+            }
+            assertEquals(List.of("stays"), runner.ids());
+        }
+    }
+
+    /** Guards against a job sent to a runner that was told to drain, or started anew, while its connection came up. */
+    @Test
+    void nothingIsSentOnAConnectionThatComesUpAfterTheRunnerChanged() throws Exception {
+        limit("probes", false);
+        limit("connect_timeout", 10_000_000_000L);
+        for (boolean drains : new boolean[] {true, false}) {
+            try (RawRunner runner = new RawRunner().shut(); StandIns one = new StandIns()) {
+                Map<String, Object> mine = one.config();
+                mine.put("settings", config.get("settings"));
+                one.addRunner("s-1", runner.port());
+                int port = one.start(mine).ports().get(0);
+                until(() -> healthy(port));
+                try (RawClient client = new RawClient(port)) {
+                    client.send(job("/api", "a", "mark-submit", ""));
+                    until(() -> one.node().subchannels.opening() == 1);
+                    one.tell("s-1", drains ? "Terminating" : "Ready", drains ? 0 : System.currentTimeMillis());
+                    until(() -> one.node().subchannels.changes("s-1") == 2);
+                    runner.open();
+                    assertEquals(503, client.read().status());
+                    assertEquals(List.of(), runner.ids());
+                }
+            }
+        }
+    }
+
+    /** Guards against a keyed job that is repeated after its window, since the connection came up late. */
+    @Test
+    @SuppressWarnings("unchecked")
+    void aKeyedJobIsNotRepeatedOnAConnectionThatComesUpAfterItsWindow() throws Exception {
+        limit("probes", false);
+        limit("connect_timeout", 10_000_000_000L);
+        Map<String, Object> settings = (Map<String, Object>) config.get("settings");
+        List<Map<String, Object>> classes = new ArrayList<>();
+        for (Object one : (List<?>) settings.get("classes")) {
+            Map<String, Object> changed = new HashMap<>((Map<String, Object>) one);
+            changed.put("window", 1_500_000_000L);
+            classes.add(changed);
+        }
+        settings.put("classes", classes);
+        try (RawRunner first = new RawRunner().open(); RawRunner second = new RawRunner().shut()) {
+            world.addRunner("s-1", first.port());
+            int port = start();
+            CountDownLatch listed = new CountDownLatch(1);
+            first.script = (request, socket) -> {
+                await(listed);
+                socket.close();
+            };
+            try (RawClient client = new RawClient(port)) {
+                long sent = System.nanoTime();
+                client.send(job("/api", "k", "save-run", "", "Idempotency-Key: K").toString()
+                        .replace("X-Deadline: 4", "X-Deadline: 12"));
+                until(() -> first.seen.size() == 1);
+                world.addRunner("s-2", second.port());
+                until(() -> world.node().subchannels.changes("s-2") == 1);
+                listed.countDown();
+                until(() -> world.node().subchannels.opening() == 1);
+                until(() -> System.nanoTime() - sent > 1_600_000_000L);
+                second.open();
+                assertEquals(502, client.read().status(), "it may have run, and cannot be repeated any more");
+                assertEquals(List.of(), second.ids());
+            }
+        }
+    }
+}
