--- a/src/main/java/nettlewick/net/ClientGuard.java
+++ b/src/main/java/nettlewick/net/ClientGuard.java
@@ -300,7 +300,9 @@
         } else if (state.phase() == ClientState.Phase.READING) {
             refuse(408, "the request took too long to come");
         } else if (state.phase() == ClientState.Phase.WAITING && !unread) {
-            endOutput();
+            if (stillIdle()) {
+                endOutput();
+            }
         } else {
             close();
         }
@@ -314,13 +316,18 @@
         }
     }
 
-    /** Ends the connection if nothing is owed on it, nothing is on its way, and its last answer is out. */
+    /** Ends the connection if nothing is owed on it, nothing has come, and its last answer is out. */
     void endIfQuiet(double now) {
-        if (state.quiet(now) && !unread()) {
+        if (state.quiet(now) && !unread() && stillIdle()) {
             endOutput();
         }
     }
 
+    /** Whether nothing is owed here, by what the socket says now: a request may wait unread in it. */
+    boolean stillIdle() {
+        return state.idle() && connected() && state.idle();
+    }
+
     /**
      * Says that nothing more will be answered, and reads what still comes without taking it: a close over
      * unread bytes resets the connection, and the client may lose the answer before it has read it.
--- a/src/main/java/nettlewick/net/HttpFront.java
+++ b/src/main/java/nettlewick/net/HttpFront.java
@@ -31,6 +31,8 @@
     /** Most bytes read from one client in its turn on the event loop. */
     private static final int READ_MOST = 16 * 1024;
     private static final int READS_A_TURN = 2;
+    /** Connections that turn out to hold a request while one that makes way is looked for. */
+    private static final int MAKE_WAY_TRIES = 4;
     private static final long SWEEP = 20;
     private static final long LOOK = 100;
 
@@ -114,13 +116,20 @@
      * Danger: by age alone a crowd that says nothing would drive the usual clients out.
      */
     private void makeWay(ClientGuard newcomer) {
-        connections.values().stream().filter(g -> g != newcomer && g.state().idle())
-                .min(Comparator.comparingInt(g -> g.state().merit()))
-                .ifPresentOrElse(ClientGuard::close, () -> {
-                    if (newcomer != null) {
-                        newcomer.refuse(503, "too many connections");
-                    }
-                });
+        for (int tries = 0; tries < MAKE_WAY_TRIES; tries++) {
+            ClientGuard least = connections.values().stream().filter(g -> g != newcomer && g.state().idle())
+                    .min(Comparator.comparingInt(g -> g.state().merit())).orElse(null);
+            if (least == null) {
+                break;
+            }
+            if (least.stillIdle()) {
+                least.close();
+                return;
+            }
+        }
+        if (newcomer != null) {
+            newcomer.refuse(503, "too many connections");
+        }
     }
 
     @Override
--- a/src/main/java/nettlewick/net/Node.java
+++ b/src/main/java/nettlewick/net/Node.java
@@ -11,33 +11,17 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.TimeUnit;
 import nettlewick.admin.AdminFront;
 import nettlewick.core.Books;
 import nettlewick.core.Clock;
 import nettlewick.core.Core;
 import nettlewick.core.Witness;
-import nettlewick.decision.Dispatcher.JobClass;
+import nettlewick.decision.Dispatcher.Settings;
 import nettlewick.log.Part;
 
 /** One real dispatcher: puts core, subchannels, resolver watch, peers and the platform's front together. */
 public final class Node {
     private static final Part LOG = Part.of("node");
-    /** New connections keep coming for this long after SIGTERM. */
-    private static final long ACCEPT_ON = 700;
-    private static final long SHUT_SPARE = 500;
-    /**
-     * SIGKILL comes no sooner than this after the longest deadline, which counts as LONGEST at most. Clients
-     * go on using the connections they have, so these are served for nearly as long: one whose connection
-     * is closed finds nobody else here until the restart.
-     */
-    private static final long KILL = 700;
-    private static final long LONGEST = 3000;
-    /** Before the kill: until when requests are taken, and when what is still open is ended. */
-    private static final long LAST_TAKEN = 600;
-    private static final long LAST_ANSWERED = 250;
-    private static final long LOOK = 50;
     /** How long a successor waits for discovery's first word; after that the list it was given counts. */
     private static final long TOLD = 1000;
     /** How often it is looked whether another process shares the limits. */
@@ -59,7 +43,7 @@
 
     private volatile Config config;
     final Clock clock;
-    private final Vertx vertx;
+    final Vertx vertx;
     private final Succession succession;
     final BanStore bans;
     private final int clients;
@@ -68,7 +52,7 @@
     final Context loop;
     /** When the process that is to succeed this one started; NaN: none is. */
     private double heirAt = Double.NaN;
-    private PeerSocket peers;
+    PeerSocket peers;
     private Books books = Books.NONE;
     private Witness witness = Witness.NONE;
     Core core;
@@ -228,11 +212,7 @@
 
     /** From SIGTERM to SIGKILL at the least, in milliseconds. */
     private long killSpan() {
-        return Math.min(longest(), LONGEST) + KILL;
-    }
-
-    private long longest() {
-        return config.settings().classes().stream().mapToLong(JobClass::deadline).max().orElse(0) / 1_000_000;
+        return GracefulShutdown.killSpan(config.settings());
     }
 
     private Future<CompositeFuture> listen() {
@@ -309,6 +289,11 @@
         return more;
     }
 
+    /** The site's settings in force. */
+    Settings settings() {
+        return config.settings();
+    }
+
     /** Where the watch is on now. */
     SocketAddress discovery() {
         return config.discovery();
@@ -330,43 +315,7 @@
 
     /** A planned end: goes on accepting for a while, then answers all that was taken. Blocks until then. */
     public void shutDown() {
-        boolean successor = succession != null && succession.successor();
-        LOG.info(successor ? "hands-over" : "shutting-down", successor
-                ? "handing over to the process that succeeds this one" : "shutting down");
-        CountDownLatch done = new CountDownLatch(1);
-        double began = clock.now();
-        long longest = longest();
-        long kill = killSpan();
-        loop.runOnContext(v -> {
-            state.end(successor);
-            core.part(began + kill);
-            if (successor) {
-                gate.closeOnceEmpty();
-                peers.close();
-            }
-            // A connection that waits in the kernel's queue may hold a request: it is accepted before the
-            // end.
-            vertx.setTimer(ACCEPT_ON, id -> gate.closeOnceEmpty().onComplete(closed -> vertx.setTimer(LOOK,
-                    then -> shut(began + kill - LAST_TAKEN, longest + SHUT_SPARE, done))));
-            // All of it, also what came before the signal: a kill finds nothing that is owed an answer.
-            vertx.setTimer(Math.max(ACCEPT_ON, kill - LAST_ANSWERED), id -> core.endAll());
-        });
-        try {
-            done.await(kill + longest + SHUT_SPARE, TimeUnit.MILLISECONDS);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-        LOG.info("shut-down", "shut down");
-    }
-
-    /** Ends the fronts at that time, or as soon as nobody is connected. */
-    private void shut(double at, long longest, CountDownLatch done) {
-        if (clock.now() < at && fronts.stream().anyMatch(Front::connected)) {
-            vertx.setTimer(LOOK, id -> shut(at, longest, done));
-        } else {
-            state.shut();
-            Future.join(fronts.stream().map(f -> f.shut(longest)).toList()).onComplete(r -> done.countDown());
-        }
+        new GracefulShutdown(this, succession != null && succession.successor()).run();
     }
 
     /** Takes a configuration that was read anew over, as far as that can be done while serving. */
--- a/src/test/java/nettlewick/LayoutTest.java
+++ b/src/test/java/nettlewick/LayoutTest.java
@@ -51,6 +51,32 @@
         assertEquals(new TreeSet<>(LONG), over, "a file that has been split leaves the list, none joins it");
     }
 
+    /** Names that belong to a site stand in its settings alone: nothing is fitted to one deployment. */
+    @Test
+    void noNameOfASiteStandsInTheProgram() throws IOException {
+        Set<String> names = new TreeSet<>();
+        try (Stream<Path> sites = Files.walk(Path.of("deploy/sites"))) {
+            for (Path site : sites.filter(f -> f.toString().endsWith(".toml")).toList()) {
+                String text = Files.readString(site).replaceAll("(?s)\\[\\[trouble]]\\s*name = \"[^\"]*\"", "");
+                Matcher name = Pattern.compile("(?m)^(?:name = |zones = \\[)(.*?)]?$").matcher(text);
+                while (name.find()) {
+                    names.addAll(List.of(name.group(1).replace("\"", "").split(", *")));
+                }
+            }
+        }
+        assertTrue(names.size() > 20, names.toString());
+        List<Path> program = new ArrayList<>(List.of(Path.of("deploy/balancer.toml"), Path.of("deploy/nettlewick.conf")));
+        try (Stream<Path> files = Files.walk(MAIN)) {
+            files.filter(Files::isRegularFile).forEach(program::add);
+        }
+        for (Path file : program) {
+            String text = Files.readString(file);
+            for (String name : names) {
+                assertTrue(!text.contains(name), file + " names " + name);
+            }
+        }
+    }
+
     @Test
     void linesAreNarrow() throws IOException {
         try (Stream<Path> files = Files.walk(MAIN)) {
--- /dev/null
+++ b/src/test/java/nettlewick/cli/SignalsProcessTest.java
@@ -0,0 +1,81 @@
+package nettlewick.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.google.gson.Gson;
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import nettlewick.net.RawClient;
+import nettlewick.net.StandIns;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** A real dispatcher whose signals cross one another and the requests of its clients. */
+@Timeout(60)
+class SignalsProcessTest {
+    @TempDir
+    private Path dir;
+    private Process dispatcher;
+
+    @AfterEach
+    void end() {
+        if (dispatcher != null) {
+            dispatcher.destroyForcibly();
+        }
+    }
+
+    private void signal(String name) throws IOException, InterruptedException {
+        assertEquals(0, new ProcessBuilder("kill", "-" + name, Long.toString(dispatcher.pid())).start().waitFor());
+    }
+
+    private static boolean healthy(int port) {
+        try (RawClient client = new RawClient(port)) {
+            return client.send("GET /_health HTTP/1.1\r\nHost: x\r\n\r\n").read().status() == 200;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    /** Guards against a reload, or a second SIGTERM, that cuts a planned end short. */
+    @Test
+    void aPlannedEndAnswersAllThoughSignalsCross() throws Exception {
+        int port;
+        try (ServerSocket socket = new ServerSocket(0)) {
+            port = socket.getLocalPort();
+        }
+        try (StandIns world = new StandIns()) {
+            world.addRunner("s-1");
+            Map<String, Object> config = world.config();
+            config.put("listen", "127.0.0.1:" + port);
+            Path file = Files.writeString(dir.resolve("config"), new Gson().toJson(config));
+            dispatcher = Child.start(dir.resolve("log"), Map.of("ROUTER_CONFIG", file.toString(),
+                    "JAVA_TOOL_OPTIONS", "-Djava.io.tmpdir=" + dir), "serve");
+            Child.until(dispatcher, dir.resolve("log"), () -> healthy(port));
+            try (RawClient working = new RawClient(port); RawClient kept = new RawClient(port)) {
+                assertEquals("r-k1", kept.send(StandIns.job("/api", "k1", "step-view", "10")).read().body());
+                working.send(StandIns.job("/api", "w", "mark-submit", "1200"));
+                StandIns.until(() -> world.seen.size() == 2);
+                for (String signal : new String[] {"HUP", "TERM", "HUP", "TERM"}) {
+                    signal(signal);
+                }
+                assertEquals("r-k2", kept.send(StandIns.job("/api", "k2", "step-view", "10")).read().body());
+                try (RawClient late = new RawClient(port)) {
+                    assertEquals("r-l", late.send(StandIns.job("/api", "l", "mark-submit", "10")).read().body());
+                }
+                assertEquals("r-w", working.read().body());
+                assertNull(kept.read(), "ended in good order, not reset");
+            }
+            assertTrue(dispatcher.waitFor(15, TimeUnit.SECONDS), "it has not ended");
+            assertEquals(0, dispatcher.exitValue());
+            world.runs.forEach((id, runs) -> assertEquals(1, runs.get(), id));
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/nettlewick/net/CrowdTest.java
@@ -0,0 +1,96 @@
+package nettlewick.net;
+
+import static nettlewick.net.StandIns.job;
+import static nettlewick.net.StandIns.until;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.google.gson.Gson;
+import io.vertx.core.http.HttpServerRequest;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import nettlewick.core.Clock;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Idle clients that fill what descriptors clients may have, while discovery is down. */
+@Timeout(60)
+class CrowdTest {
+    private static final int SOCKETS = 160;
+    private static final int CROWD = 120;
+    private final List<RawClient> crowd = new ArrayList<>();
+    private StandIns world;
+    private Map<String, Object> config;
+
+    @BeforeEach
+    void open() throws Exception {
+        world = new StandIns();
+        config = world.config();
+        config.put("limits", Map.of("cores", 0.5, "memory_mb", 144, "sockets", SOCKETS));
+        world.addRunner("s-1");
+    }
+
+    @AfterEach
+    void close() throws IOException {
+        for (RawClient client : crowd) {
+            client.close();
+        }
+        world.close();
+    }
+
+    private void fill(int port) throws IOException {
+        for (int i = 0; i < CROWD; i++) {
+            crowd.add(new RawClient(port));
+        }
+    }
+
+    private static boolean served(int port, String id) {
+        try (RawClient client = new RawClient(port)) {
+            RawClient.Answer answer = client.send(job("/api", id, "step-view", "5")).read();
+            return answer != null && answer.body().equals("r-" + id);
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    /** Guards against descriptors that idle clients take from runners and from discovery. */
+    @Test
+    void discoveryAndRunnersAreReachedThroughACrowd() throws Exception {
+        Node node = world.start(config);
+        int port = node.ports().get(0);
+        until(() -> served(port, "first" + System.nanoTime()));
+        world.discoveryInstead = request -> request.connection().close();
+        world.breakWatches();
+        fill(port);
+        until(() -> served(port, "crowded" + System.nanoTime()));
+        // Discovery is back, and tells of another runner: it is asked and the runner is reached, the crowd still there.
+        world.addRunner("s-2");
+        world.tell("s-1", "Terminating");
+        world.discoveryInstead = null;
+        until(() -> served(port, "back" + System.nanoTime())
+                && world.seen.stream().anyMatch(s -> s.startsWith("s-2 ")));
+        assertTrue(node.holdsList());
+    }
+
+    /** Guards against a restart that waits for a discovery that says nothing: the list it was given serves. */
+    @Test
+    void aRestartedDispatcherIsReadyThoughDiscoveryIsSilent() throws Exception {
+        ConcurrentLinkedQueue<HttpServerRequest> silent = new ConcurrentLinkedQueue<>();
+        world.discoveryInstead = silent::add;
+        config.put("known", world.known());
+        Node node = new Node(Config.of(new Gson().toJson(config), Map.of()), Clock.system(), PlatformFront::new);
+        StandIns.get(node.start());
+        int port = node.ports().get(0);
+        fill(port);
+        try (RawClient client = new RawClient(port)) {
+            assertEquals(200, client.send("GET /_health HTTP/1.1\r\nHost: x\r\n\r\n").read().status());
+        }
+        assertTrue(served(port, "known"));
+        StandIns.get(node.close());
+    }
+}
