Peer and provider clients read a response on its event loop, before it can end

What callers saw: a reconciliation round failed with 'IOException: null' though the peer had answered; a provider's answer counted as none.

Ruled out: DiscoveryWatch, OutboundRequest, WarmUp, fleettest.Clients (all on the event loop), HttpTarget (the JDK's client). Change: the body is composed inside the request's callback, on the event loop of the response.

--- a/src/main/java/nettlewick/ledger/PeerClient.java
+++ b/src/main/java/nettlewick/ledger/PeerClient.java
@@ -142,9 +142,9 @@
         client.request(options)
                 .compose(request -> {
                     done.future().onFailure(e -> request.reset());
-                    return request.send();
+                    // Composed here, on the response's event loop: this method's thread may come too late for its end.
+                    return request.send().compose(response -> body(response, done));
                 })
-                .compose(response -> body(response, done))
                 .onFailure(done::tryFail);
         try {
             Buffer answer = done.future()
@@ -163,7 +163,7 @@
             }
             return body;
         } catch (ExecutionException e) {
-            throw new IOException(String.valueOf(e.getCause().getMessage()), e.getCause());
+            throw new IOException(String.valueOf(e.getCause()), e.getCause());
         } catch (TimeoutException e) {
             throw new IOException("no answer in time", e);
         } finally {
--- a/src/main/java/nettlewick/tenantpools/ProviderClient.java
+++ b/src/main/java/nettlewick/tenantpools/ProviderClient.java
@@ -105,8 +105,9 @@
                         .setHost(url.getHost())
                         .setPort(url.getPort() < 0 ? DEFAULT_PORT : url.getPort())
                         .setURI(basePath.replaceAll("/+$", "") + "/pools/" + tenant))
-                .compose(writer::write)
-                .compose(response -> response.body().map(body -> parse(response, body, nowMillis)));
+                // Composed on the response's event loop: the caller's thread may come too late for its end.
+                .compose(request -> writer.write(request)
+                        .compose(response -> response.body().map(body -> parse(response, body, nowMillis))));
         // The client's own timeouts cover neither connecting nor reading the body.
         answer.timeout((long) timeoutMillis, TimeUnit.MILLISECONDS)
                 .otherwise(new ProviderAnswer.NoAnswer())
--- /dev/null
+++ b/src/test/java/nettlewick/ConcurrentCallers.java
@@ -0,0 +1,34 @@
+package nettlewick;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+
+/** Runs one task on more threads than there are cores, so that each is preempted between any two of its steps. */
+public final class ConcurrentCallers {
+    private static final int THREADS_PER_CORE = 4;
+
+    private ConcurrentCallers() {}
+
+    /** Runs the task once on each thread and returns all results together. */
+    public static <T> List<T> runOnEach(Callable<List<T>> task) throws Exception {
+        int threads = THREADS_PER_CORE * Runtime.getRuntime().availableProcessors();
+        ExecutorService executor = Executors.newFixedThreadPool(threads);
+        try {
+            List<Future<List<T>>> pending = new ArrayList<>();
+            for (int i = 0; i < threads; i++) {
+                pending.add(executor.submit(task));
+            }
+            List<T> results = new ArrayList<>();
+            for (Future<List<T>> one : pending) {
+                results.addAll(one.get());
+            }
+            return results;
+        } finally {
+            executor.shutdownNow();
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/nettlewick/ledger/PeerClientTest.java
@@ -0,0 +1,70 @@
+package nettlewick.ledger;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpServer;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import nettlewick.ConcurrentCallers;
+import nettlewick.core.Clock;
+import nettlewick.stubs.StubPlatform;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Calls of many threads to a peer that answers at once. */
+@Timeout(60)
+class PeerClientTest {
+    private static final byte[] KEY = "0123456789abcdef0123456789abcdef".getBytes();
+    private static final int CALLS_PER_CALLER = 200;
+    private static final double TIMEOUT_MILLIS = 10_000;
+    private static final int STATUS_SAME = 204;
+
+    private Vertx vertx;
+
+    @BeforeEach
+    void open() {
+        vertx = Vertx.vertx();
+    }
+
+    @AfterEach
+    void close() throws Exception {
+        StubPlatform.get(vertx.close());
+    }
+
+    private int listen() throws Exception {
+        MessageSeal seal = new MessageSeal(KEY);
+        HttpServer server = vertx.createHttpServer()
+                .requestHandler(request -> request.response()
+                        .setStatusCode(STATUS_SAME)
+                        .putHeader(
+                                PeerFront.SEAL,
+                                seal.answer(request.getHeader(PeerFront.NONCE), STATUS_SAME, new byte[0]))
+                        .end());
+        return StubPlatform.get(server.listen(0, "127.0.0.1")).actualPort();
+    }
+
+    private List<String> callRepeatedly(int port) {
+        List<String> faults = new ArrayList<>();
+        InetSocketAddress peer = new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
+        try (PeerClient client = new PeerClient(vertx, peer, new MessageSeal(KEY), Clock.system(), TIMEOUT_MILLIS)) {
+            for (int i = 0; i < CALLS_PER_CALLER; i++) {
+                client.get(PeerFront.HEADS);
+            }
+        } catch (Exception e) {
+            faults.add(e.toString());
+        }
+        return faults;
+    }
+
+    /** Guards against handlers that are set on a response after it has ended. */
+    @Test
+    void everyAnswerIsReadHoweverLateTheCallerIsScheduled() throws Exception {
+        int port = listen();
+        assertEquals(List.of(), ConcurrentCallers.runOnEach(() -> callRepeatedly(port)));
+    }
+}
--- /dev/null
+++ b/src/test/java/nettlewick/tenantpools/ProviderClientTest.java
@@ -0,0 +1,68 @@
+package nettlewick.tenantpools;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpServer;
+import java.net.URI;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import nettlewick.ConcurrentCallers;
+import nettlewick.stubs.StubPlatform;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Calls of many threads to a provider that answers at once. */
+@Timeout(60)
+class ProviderClientTest {
+    private static final int CALLS_PER_CALLER = 200;
+    private static final int TIMEOUT_MILLIS = 10_000;
+    private static final int STATUS_PRECONDITION_FAILED = 412;
+
+    private Vertx vertx;
+
+    @BeforeEach
+    void open() {
+        vertx = Vertx.vertx();
+    }
+
+    @AfterEach
+    void close() throws Exception {
+        StubPlatform.get(vertx.close());
+    }
+
+    private URI listen() throws Exception {
+        HttpServer server = vertx.createHttpServer()
+                .requestHandler(request -> request.response()
+                        .setStatusCode(STATUS_PRECONDITION_FAILED)
+                        .end());
+        return URI.create("http://127.0.0.1:"
+                + StubPlatform.get(server.listen(0, "127.0.0.1")).actualPort());
+    }
+
+    private static List<ProviderAnswer> callRepeatedly(URI url) throws Exception {
+        List<ProviderAnswer> answers = new ArrayList<>();
+        try (ProviderClient client = new ProviderClient(url, TIMEOUT_MILLIS)) {
+            for (int i = 0; i < CALLS_PER_CALLER; i++) {
+                CompletableFuture<ProviderAnswer> answer = new CompletableFuture<>();
+                client.fetchReport("red", 0, answer::complete);
+                answers.add(answer.get(2 * TIMEOUT_MILLIS, TimeUnit.MILLISECONDS));
+            }
+        }
+        return answers;
+    }
+
+    /** Guards against an answer that is taken for none, since its body was asked for after its end. */
+    @Test
+    void everyAnswerIsReadHoweverLateTheCallerIsScheduled() throws Exception {
+        URI url = listen();
+        List<ProviderAnswer> unread = ConcurrentCallers.runOnEach(() -> callRepeatedly(url)).stream()
+                .filter(answer -> !(answer instanceof ProviderAnswer.VersionConflict))
+                .toList();
+        assertEquals(List.of(), unread);
+    }
+}
