A dispatcher listens last at its start, when it can serve what it accepts

Cause: a process without a predecessor listened first and then loaded and compiled its code on the event loop; and the time of a request that came meanwhile was counted from the last tick before, when the port was not open yet, so it was rejected as overdue.

Change: each start warms up by a frontend at a port that no client knows, as successors did, and listens last; time counts from the opening of the port at the earliest.

--- a/src/main/java/nettlewick/net/DispatcherServer.java
+++ b/src/main/java/nettlewick/net/DispatcherServer.java
@@ -150,7 +150,7 @@
                 DISABLED_CHECK_MILLIS, id -> disabledEndpoints.readChanges().forEach(this::applyDisabledEndpoint));
         Future<Void> firstUpdate = startDiscoveryWatch(isSuccessor);
         return listenAdmin()
-                .compose(v -> isSuccessor ? startAsSuccessor(firstUpdate, environment) : startAlone())
+                .compose(v -> isSuccessor ? startAsSuccessor(firstUpdate, environment) : startAlone(environment))
                 .onSuccess(v -> startServing());
     }
 
@@ -201,11 +201,16 @@
         endpointPools.setDisabled(entry.endpoint(), entry.disabled(), entry.sinceMillis());
     }
 
-    /** Starts where no other process serves at this address: listens at once and reports ready once warmed up. */
-    private Future<Void> startAlone() {
-        return listenOnFrontends()
-                .compose(all -> peerSocket.listen(coordinator::receivePeerMessage))
-                .compose(all -> warmUp(ports.get(0)));
+    /**
+     * Starts where no other process serves at this address. It listens last: what it accepted while it loads and
+     * compiles its code would wait for that, until its deadline has passed.
+     */
+    private Future<Void> startAlone(Frontend.Environment environment) {
+        return peerSocket
+                .listen(coordinator::receivePeerMessage)
+                .compose(v -> warmUpPrivately(environment))
+                .compose(v -> listenOnFrontends())
+                .mapEmpty();
     }
 
     /**
@@ -216,6 +221,15 @@
     private Future<Void> startAsSuccessor(Future<Void> firstUpdate, Frontend.Environment environment) {
         LOG.info("succeeds", "another process serves here; this one is to succeed it");
         peerSocket.listenWhenPortIsFree(coordinator::receivePeerMessage);
+        return warmUpPrivately(environment)
+                .compose(v -> firstUpdate)
+                .compose(v -> handover.whenPredecessorIdle())
+                .compose(v -> listenOnFrontends())
+                .mapEmpty();
+    }
+
+    /** Warms up by requests to a frontend at a port that no client knows. */
+    private Future<Void> warmUpPrivately(Frontend.Environment environment) {
         Frontend privateFrontend = new PlatformFrontend(new Frontend.Environment(
                 vertx,
                 eventLoop,
@@ -225,14 +239,7 @@
                 () -> true,
                 serviceState,
                 connectionsPerFrontend));
-        return privateFrontend
-                .listen()
-                .compose(this::warmUp)
-                .compose(v -> privateFrontend.closeConnections(0))
-                .compose(v -> firstUpdate)
-                .compose(v -> handover.whenPredecessorIdle())
-                .compose(v -> listenOnFrontends())
-                .mapEmpty();
+        return privateFrontend.listen().compose(this::warmUp).compose(v -> privateFrontend.closeConnections(0));
     }
 
     private Future<CompositeFuture> listenOnFrontends() {
--- a/src/main/java/nettlewick/net/client/HttpFrontend.java
+++ b/src/main/java/nettlewick/net/client/HttpFrontend.java
@@ -174,6 +174,8 @@
 
     @Override
     public final Future<Integer> listen() {
+        // No request can have arrived before, however long the event loop was held up by the start.
+        lastTickAt = environment.clock().nowMillis();
         return server.listen().map(HttpServer::actualPort);
     }
 
