Every rejection of a request that has not run says when to try again

What callers saw: 503 and 429 without Retry-After for requests that certainly had not run (overdue on arrival, too long for a process that drains, rejected by the connection's guard). Cause: each place chose its own advice; three passed 0, the guard had no header, and one advised even where the site's settings forbid it. Ruled out: the decision module and the event streams, which advise.

Change: core.RetryAdvice holds all advice of the package within the site's limit; the guard's 429 and 503 carry Retry-After: 1 where the site allows it.

--- a/src/main/java/nettlewick/core/DrainHandover.java
+++ b/src/main/java/nettlewick/core/DrainHandover.java
@@ -9,13 +9,10 @@
  * outlive this process, and ends what is in flight before the kill. Core thread.
  */
 final class DrainHandover {
-    /** A dispatcher that ends is started anew within seconds. */
-    private static final double RESTART_MILLIS = 1000;
-
     private final CoreLoop loop;
     private final InFlightTable table;
     private final FinalAnswers answers;
-    private final double retryAfterRestartMillis;
+    private final RetryAdvice retryAdvice;
     private final DrainPolicy policy = new DrainPolicy();
     private final List<InFlightRequest> held = new ArrayList<>();
 
@@ -23,7 +20,7 @@
         this.loop = loop;
         this.table = table;
         this.answers = answers;
-        retryAfterRestartMillis = settings.limits().retryAfter() ? RESTART_MILLIS : 0;
+        retryAdvice = new RetryAdvice(settings.limits());
     }
 
     /** Hands an accepted request to the module now, holds it back, or rejects it. */
@@ -45,7 +42,8 @@
 
     /** A successor takes the retry at once; without one the next process takes a while to start. */
     private void rejectUnsent(InFlightRequest inFlight) {
-        answers.reject(inFlight, policy.hasStoppedAdmitting() ? retryAfterRestartMillis : 0);
+        answers.reject(
+                inFlight, policy.hasStoppedAdmitting() ? retryAdvice.afterRestart() : retryAdvice.atOtherDispatcher());
     }
 
     private void releaseHeld() {
@@ -76,7 +74,7 @@
         policy.stopAdmitting();
         for (InFlightRequest inFlight : table.unanswered()) {
             if (inFlight.isSafeToReject()) {
-                answers.rejectAndWithdraw(inFlight, retryAfterRestartMillis);
+                answers.rejectAndWithdraw(inFlight, retryAdvice.afterRestart());
             } else {
                 answers.failAndWithdraw(inFlight, "this dispatcher ends");
             }
--- a/src/main/java/nettlewick/core/RequestIntake.java
+++ b/src/main/java/nettlewick/core/RequestIntake.java
@@ -12,6 +12,7 @@
     private final DrainHandover drainHandover;
     private final RequestListener listener;
     private final SchedulerSettings settings;
+    private final RetryAdvice retryAdvice;
 
     RequestIntake(
             CoreLoop loop,
@@ -28,6 +29,7 @@
         this.drainHandover = drainHandover;
         this.listener = listener;
         this.settings = settings;
+        retryAdvice = new RetryAdvice(settings.limits());
     }
 
     void accept(Request request) {
@@ -36,11 +38,10 @@
             // of a request that has just finished might execute twice.
             answers.failUnaccepted(request, "the id of a request that was taken before");
         } else if (table.isFull()) {
-            answers.rejectUnaccepted(
-                    request, ModuleTime.toMillis(settings.limits().maxRetryAfter()) / 2);
+            answers.rejectUnaccepted(request, retryAdvice.whileFull());
         } else if (request.deadlineMillis() <= loop.nowMillis()) {
             // It waited on its connection or in the queue and was never sent, so a retry is harmless.
-            answers.rejectUnaccepted(request, 0);
+            answers.rejectUnaccepted(request, retryAdvice.atOtherDispatcher());
         } else {
             InFlightRequest inFlight = table.add(request, classOf(request));
             listener.onRequestAccepted(request);
--- a/src/main/java/nettlewick/net/client/ClientConnection.java
+++ b/src/main/java/nettlewick/net/client/ClientConnection.java
@@ -55,6 +55,7 @@
     /** The earliest time at which the bytes read now may have arrived, in milliseconds. */
     private final DoubleSupplier receivedAt;
 
+    private final boolean advisesRetry;
     private final ClientConnectionState state;
     private final PipelinedRequests requests;
     private ChannelHandlerContext context;
@@ -70,16 +71,18 @@
     private boolean clientAskedToClose;
 
     ClientConnection(Clock clock, RequestByteBudget budget) {
-        this(clock, clock::nowMillis, budget);
+        this(clock, clock::nowMillis, budget, true);
     }
 
     /**
      * Creates the handler of a new connection.
      *
      * @param receivedAt the earliest time at which the bytes read now may have arrived
+     * @param advisesRetry whether clients that are rejected here are told when to try again
      */
-    ClientConnection(Clock clock, DoubleSupplier receivedAt, RequestByteBudget budget) {
+    ClientConnection(Clock clock, DoubleSupplier receivedAt, RequestByteBudget budget, boolean advisesRetry) {
         this.clock = clock;
+        this.advisesRetry = advisesRetry;
         this.receivedAt = receivedAt;
         requests = new PipelinedRequests(budget);
         state = new ClientConnectionState(clock.nowMillis());
@@ -259,7 +262,8 @@
     }
 
     private void writeRejection() {
-        String text = PRECEDES_REJECTED.response(false).repeat(requests.waiting()) + rejection.response(true);
+        String text = PRECEDES_REJECTED.response(false, advisesRetry).repeat(requests.waiting())
+                + rejection.response(true, advisesRetry);
         state.beginClosing(clock.nowMillis());
         requests.clear();
         // Written at the first handler, past the server's own responses.
--- a/src/main/java/nettlewick/net/client/FramingValidator.java
+++ b/src/main/java/nettlewick/net/client/FramingValidator.java
@@ -18,6 +18,7 @@
 final class FramingValidator {
     static final int MAX_BODY_BYTES = 64 * 1024;
     private static final int MAX_LENGTH_DIGITS = 18;
+    private static final int RETRY_AFTER_SECONDS = 1;
 
     /** Why a request is rejected, and with which status. */
     record Rejection(int status, String message) {
@@ -25,12 +26,19 @@
          * The complete response, in ASCII.
          *
          * @param closes whether the connection ends with it
+         * @param advisesRetry whether a client that may try again is told when
          */
-        String response(boolean closes) {
+        String response(boolean closes, boolean advisesRetry) {
             return "HTTP/1.1 " + HttpResponseStatus.valueOf(status)
                     + "\r\nContent-Type: text/plain\r\nContent-Length: " + (message.length() + 1)
+                    + (advisesRetry && isRetryHarmless() ? "\r\nRetry-After: " + RETRY_AFTER_SECONDS : "")
                     + (closes ? "\r\nConnection: close" : "") + "\r\n\r\n" + message + "\n";
         }
+
+        private boolean isRetryHarmless() {
+            return status == HttpResponseStatus.TOO_MANY_REQUESTS.code()
+                    || status == HttpResponseStatus.SERVICE_UNAVAILABLE.code();
+        }
     }
 
     private FramingValidator() {}
--- a/src/main/java/nettlewick/net/client/HttpFrontend.java
+++ b/src/main/java/nettlewick/net/client/HttpFrontend.java
@@ -128,7 +128,11 @@
 
     private void connectionOpened(HttpConnection connection) {
         Channel channel = ((ConnectionBase) connection).channel();
-        ClientConnection client = new ClientConnection(environment.clock(), this::receivedAt, budget);
+        ClientConnection client = new ClientConnection(
+                environment.clock(),
+                this::receivedAt,
+                budget,
+                environment.config().settings().limits().retryAfter());
         connections.put(connection, client);
         connection.exceptionHandler(e -> {});
         connection.closeHandler(v -> {
--- a/src/test/java/nettlewick/core/FinalAnswerTest.java
+++ b/src/test/java/nettlewick/core/FinalAnswerTest.java
@@ -46,7 +46,7 @@
     void aRequestThatArrivesAfterItsDeadlineIsRejectedUnsent() throws InterruptedException {
         submit("a", 0);
         advanceTo(0);
-        assertEquals(List.of("refused a 0.0"), sideEffects);
+        assertEquals(List.of("refused a 200.0"), sideEffects);
     }
 
     /** No attempt may start for a request that is decided or past its deadline. */
--- a/src/test/java/nettlewick/core/RequestCoordinatorTest.java
+++ b/src/test/java/nettlewick/core/RequestCoordinatorTest.java
@@ -53,7 +53,7 @@
         advanceTo(1300);
         submit("after", 60_000, 9000);
         advanceTo(1400);
-        assertEquals(List.of("refused long 0.0", "refused gone 0.0", "refused after 0.0"), sideEffects);
+        assertEquals(List.of("refused long 200.0", "refused gone 200.0", "refused after 200.0"), sideEffects);
         submit("short", 60_000, 900);
         advanceTo(1500);
         assertEquals("send short0", sideEffects.get(sideEffects.size() - 1));
--- a/src/test/java/nettlewick/net/client/ClientConnectionTest.java
+++ b/src/test/java/nettlewick/net/client/ClientConnectionTest.java
@@ -91,6 +91,21 @@
         assertTrue(answers().startsWith("HTTP/1.1 400 "));
     }
 
+    /** Guards against a rejection that does not say when to try again. */
+    @ParameterizedTest
+    @ValueSource(ints = {429, 503})
+    void tellsWhenToTryAgainWhereThatIsHarmless(int status) {
+        connection.reject(status, "not now");
+        assertTrue(answers().contains("\r\nRetry-After: 1\r\n"));
+    }
+
+    /** Guards against an invitation to repeat what can never be served. */
+    @Test
+    void doesNotInviteToRepeatAnInvalidRequest() {
+        connection.reject(400, "no request that can be read");
+        assertFalse(answers().contains("Retry-After"));
+    }
+
     private void serveAndClose() {
         DefaultFullHttpResponse last = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
         last.headers().set("Connection", "close");
