A request that never ran is rejected at its deadline, not failed

What callers saw: 502 'no answer in time' for requests that no endpoint had got; a client must not repeat such a request if it is not idempotent. Cause: the deadline guard failed all that the module had left open, and the end before the kill took an attempt proven not to have run for one that may have run. Ruled out: the module's own ends (RetryPolicy.isSafeToReject).

Change: FinalAnswers.withdraw serves both ends: rejected where no attempt may have run or the class is idempotent, else failed.

--- a/src/main/java/nettlewick/core/DeadlineGuard.java
+++ b/src/main/java/nettlewick/core/DeadlineGuard.java
@@ -1,15 +1,17 @@
 package nettlewick.core;
 
-/** Fails each request that the decision module has not answered by its deadline. Core thread. */
+/** Ends each request that the decision module has not answered by its deadline. Core thread. */
 final class DeadlineGuard {
     private static final double GRACE_MILLIS = 10;
 
     private final CoreLoop loop;
     private final FinalAnswers answers;
+    private final RetryAdvice retryAdvice;
 
-    DeadlineGuard(CoreLoop loop, FinalAnswers answers) {
+    DeadlineGuard(CoreLoop loop, FinalAnswers answers, RetryAdvice retryAdvice) {
         this.loop = loop;
         this.answers = answers;
+        this.retryAdvice = retryAdvice;
     }
 
     void watch(InFlightRequest inFlight) {
@@ -36,6 +38,6 @@
                 inFlight.id(),
                 "member",
                 inFlight.request().tenant());
-        answers.failAndWithdraw(inFlight, "no answer in time");
+        answers.withdraw(inFlight, retryAdvice.atOtherDispatcher(), "no answer in time");
     }
 }
--- a/src/main/java/nettlewick/core/DrainHandover.java
+++ b/src/main/java/nettlewick/core/DrainHandover.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import nettlewick.decision.SchedulerSettings;
 
 /**
  * Carries out the {@link DrainPolicy}: hands requests to the decision module, holds back or rejects those that would
@@ -16,11 +15,11 @@
     private final DrainPolicy policy = new DrainPolicy();
     private final List<InFlightRequest> held = new ArrayList<>();
 
-    DrainHandover(CoreLoop loop, InFlightTable table, FinalAnswers answers, SchedulerSettings settings) {
+    DrainHandover(CoreLoop loop, InFlightTable table, FinalAnswers answers, RetryAdvice retryAdvice) {
         this.loop = loop;
         this.table = table;
         this.answers = answers;
-        retryAdvice = new RetryAdvice(settings.limits());
+        this.retryAdvice = retryAdvice;
     }
 
     /** Hands an accepted request to the module now, holds it back, or rejects it. */
@@ -73,11 +72,7 @@
     void endAll() {
         policy.stopAdmitting();
         for (InFlightRequest inFlight : table.unanswered()) {
-            if (inFlight.isSafeToReject()) {
-                answers.rejectAndWithdraw(inFlight, retryAdvice.afterRestart());
-            } else {
-                answers.failAndWithdraw(inFlight, "this dispatcher ends");
-            }
+            answers.withdraw(inFlight, retryAdvice.afterRestart(), "this dispatcher ends");
         }
     }
 
--- a/src/main/java/nettlewick/core/FinalAnswers.java
+++ b/src/main/java/nettlewick/core/FinalAnswers.java
@@ -35,8 +35,22 @@
         }
     }
 
-    /** Rejects a request that the module still counts on, and tells the module. */
-    void rejectAndWithdraw(InFlightRequest inFlight, double retryAfterMillis) {
+    /**
+     * Ends a request that the module still counts on, and tells the module: rejects it where a retry is harmless, else
+     * fails it.
+     *
+     * @param retryAfterMillis advice where it is rejected; 0 for none
+     * @param reason           goes to the client where it is failed
+     */
+    void withdraw(InFlightRequest inFlight, double retryAfterMillis, String reason) {
+        if (inFlight.isSafeToReject()) {
+            rejectAndWithdraw(inFlight, retryAfterMillis);
+        } else {
+            failAndWithdraw(inFlight, reason);
+        }
+    }
+
+    private void rejectAndWithdraw(InFlightRequest inFlight, double retryAfterMillis) {
         if (table.markAnswered(inFlight)) {
             loop.addEvent(new Abandoned(inFlight.id()));
             release(inFlight, retryAfterMillis);
@@ -57,8 +71,7 @@
         }
     }
 
-    /** Fails a request that the module still counts on, and tells the module. */
-    void failAndWithdraw(InFlightRequest inFlight, String reason) {
+    private void failAndWithdraw(InFlightRequest inFlight, String reason) {
         if (table.markAnswered(inFlight)) {
             loop.addEvent(new Abandoned(inFlight.id()));
             release(inFlight, reason);
--- a/src/main/java/nettlewick/core/InFlightRequest.java
+++ b/src/main/java/nettlewick/core/InFlightRequest.java
@@ -59,7 +59,7 @@
 
     /** Whether it may be rejected without the risk that a retry executes it twice with effect. */
     boolean isSafeToReject() {
-        return attempts.isEmpty() || requestClass.idempotency() == Idempotency.IDEMPOTENT;
+        return attempts.stream().noneMatch(Attempt::mayHaveRun) || requestClass.idempotency() == Idempotency.IDEMPOTENT;
     }
 
     /**
--- a/src/main/java/nettlewick/core/RequestCoordinator.java
+++ b/src/main/java/nettlewick/core/RequestCoordinator.java
@@ -69,9 +69,10 @@
         loop = new CoreLoop(clock, module, metrics, this::execute);
         table = new InFlightTable(maxInFlight);
         answers = new FinalAnswers(loop, table, new UsageAccounting(loop, recorder), listener);
-        drainHandover = new DrainHandover(loop, table, answers, settings);
-        DeadlineGuard deadlineGuard = new DeadlineGuard(loop, answers);
-        intake = new RequestIntake(loop, table, answers, deadlineGuard, drainHandover, listener, settings);
+        RetryAdvice retryAdvice = new RetryAdvice(settings.limits());
+        drainHandover = new DrainHandover(loop, table, answers, retryAdvice);
+        DeadlineGuard deadlineGuard = new DeadlineGuard(loop, answers, retryAdvice);
+        intake = new RequestIntake(loop, table, answers, deadlineGuard, drainHandover, listener, settings, retryAdvice);
         attempts = new AttemptTracker(loop, table, endpoints, answers, drainHandover, listener, transport, settings);
         probes = new ProbeTracker(loop, transport);
         actions = new ActionExecutor(loop, table, answers, attempts, probes, transport);
--- a/src/main/java/nettlewick/core/RequestIntake.java
+++ b/src/main/java/nettlewick/core/RequestIntake.java
@@ -21,7 +21,8 @@
             DeadlineGuard deadlineGuard,
             DrainHandover drainHandover,
             RequestListener listener,
-            SchedulerSettings settings) {
+            SchedulerSettings settings,
+            RetryAdvice retryAdvice) {
         this.loop = loop;
         this.table = table;
         this.answers = answers;
@@ -29,7 +30,7 @@
         this.drainHandover = drainHandover;
         this.listener = listener;
         this.settings = settings;
-        retryAdvice = new RetryAdvice(settings.limits());
+        this.retryAdvice = retryAdvice;
     }
 
     void accept(Request request) {
