The thread that accepts ticks too, so that late connections count from before

Cause: AcceptTimes took a listener that had waited for one that accepts at once. Ruled out: hold-ups of the event loop (they are counted).

--- a/src/main/java/nettlewick/net/client/ConnectionLimiter.java
+++ b/src/main/java/nettlewick/net/client/ConnectionLimiter.java
@@ -6,6 +6,7 @@
 import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.util.AttributeKey;
+import io.netty.util.concurrent.ScheduledFuture;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.impl.transports.NioTransport;
@@ -47,7 +48,8 @@
     }
 
     private final class LimitedServerChannel extends NioServerSocketChannel {
-        private final AcceptTimes acceptTimes = new AcceptTimes();
+        private final EventLoopTicks ticks = new EventLoopTicks(clock.nowMillis());
+        private ScheduledFuture<?> tickTimer;
         /** Whether the kernel's queue was empty when it was last read. */
         private boolean queueEmptied;
 
@@ -61,6 +63,7 @@
             // allow sharing as well, or a new version of the program could not listen beside the old one.
             javaChannel().setOption(StandardSocketOptions.SO_REUSEPORT, true);
             super.doBind(address);
+            startTicks();
         }
 
         /**
@@ -84,15 +87,28 @@
             }
         }
 
-        @Override
-        protected void doBeginRead() throws Exception {
-            acceptTimes.waitAgain(clock.nowMillis());
-            super.doBeginRead();
+        private void startTicks() {
+            ticks.tick(clock.nowMillis());
+            tickTimer = eventLoop()
+                    .scheduleAtFixedRate(
+                            this::tick,
+                            EventLoopTicks.INTERVAL_MILLIS,
+                            EventLoopTicks.INTERVAL_MILLIS,
+                            TimeUnit.MILLISECONDS);
+        }
+
+        /** While the listener is paused, connections wait in the kernel's queue unseen. */
+        private void tick() {
+            if (!isOpen()) {
+                tickTimer.cancel(false);
+            } else if (config().isAutoRead()) {
+                ticks.tick(clock.nowMillis());
+            }
         }
 
         @Override
         protected int doReadMessages(List<Object> accepted) throws Exception {
-            double earliestMadeAt = acceptTimes.beginAccept(clock.nowMillis());
+            double earliestMadeAt = ticks.earliestArrival(clock.nowMillis());
             if (openConnections.incrementAndGet() > maxConnections) {
                 // Paused before it is added to the set: in the other order it could be resumed in between and
                 // never again.
@@ -111,7 +127,6 @@
                     connection.closeFuture().addListener(f -> connectionReleased());
                 } else {
                     queueEmptied = true;
-                    acceptTimes.queueWasEmpty(clock.nowMillis());
                     connectionReleased();
                 }
             }
--- a/src/main/java/nettlewick/net/client/HttpFrontend.java
+++ b/src/main/java/nettlewick/net/client/HttpFrontend.java
@@ -106,7 +106,7 @@
         double now = environment.clock().nowMillis();
         double earliest = ticks.earliestArrival(now);
         boolean isRegisteredBefore = earliest > registeredAt + EventLoopTicks.HELD_UP_MILLIS;
-        return isRegisteredBefore ? earliest : Math.min(earliest, ticks.earliestConnect(madeAt));
+        return isRegisteredBefore ? earliest : Math.min(earliest, madeAt);
     }
 
     /** When the last byte of the request in flight arrived, in milliseconds. */
@@ -179,7 +179,7 @@
     @Override
     public final Future<Integer> listen() {
         // No request can have arrived before, however long the event loop was held up by the start.
-        ticks.restart(environment.clock().nowMillis());
+        ticks.tick(environment.clock().nowMillis());
         return server.listen().map(HttpServer::actualPort);
     }
 
