SoakRun leaves configurations and idle clients to classes of their own

SoakConfig makes the configurations, IdleCrowd holds the idle clients, Soak deletes what a seed without a break leaves. No change of what is played or checked.

--- /dev/null
+++ b/src/main/java/nettlewick/fleettest/IdleCrowd.java
@@ -0,0 +1,53 @@
+package nettlewick.fleettest;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+
+/** Clients that connect and send nothing, so that they fill the descriptors of dispatchers. Safe for any thread. */
+final class IdleCrowd implements AutoCloseable {
+    private static final int CONNECT_TIMEOUT_MILLIS = 500;
+
+    private final List<Socket> sockets = new ArrayList<>();
+    private boolean closed;
+
+    /** Connects that many clients to each address, in the background. */
+    void gather(List<InetSocketAddress> addresses, int clientsOfEach) {
+        CompletableFuture.runAsync(() -> addresses.forEach(address -> {
+            for (int i = 0; i < clientsOfEach; i++) {
+                connect(address);
+            }
+        }));
+    }
+
+    private void connect(InetSocketAddress address) {
+        Socket socket = new Socket();
+        try {
+            socket.connect(address, CONNECT_TIMEOUT_MILLIS);
+            keep(socket);
+        } catch (IOException e) {
+            // It takes no more connections, as it may.
+        }
+    }
+
+    private synchronized void keep(Socket socket) throws IOException {
+        if (closed) {
+            socket.close();
+        } else {
+            sockets.add(socket);
+        }
+    }
+
+    /** All of them leave. */
+    @Override
+    public synchronized void close() throws IOException {
+        closed = true;
+        for (Socket socket : sockets) {
+            socket.close();
+        }
+        sockets.clear();
+    }
+}
--- a/src/main/java/nettlewick/fleettest/Soak.java
+++ b/src/main/java/nettlewick/fleettest/Soak.java
@@ -1,11 +1,14 @@
 package nettlewick.fleettest;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.function.Consumer;
+import java.util.stream.Stream;
 
 /** Plays soaks of rolling restarts, seed by seed, and tells a verdict for each. */
 public final class Soak {
@@ -47,10 +50,12 @@
     }
 
     private static void deleteQuietly(Path folder) {
-        try {
-            SoakRun.delete(folder);
-        } catch (IOException e) {
-            // Processes that are still ending write there; the next run uses a folder of its own.
+        try (Stream<Path> files = Files.walk(folder)) {
+            for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
+                Files.deleteIfExists(file);
+            }
+        } catch (IOException | UncheckedIOException e) {
+            // Processes that are still ending write there; the next seed has a folder of its own.
         }
     }
 }
--- a/src/main/java/nettlewick/fleettest/SoakRun.java
+++ b/src/main/java/nettlewick/fleettest/SoakRun.java
@@ -11,7 +11,6 @@
 import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
@@ -20,7 +19,6 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
-import java.util.stream.Stream;
 import nettlewick.fleettest.SoakJournal.Arrival;
 import nettlewick.fleettest.SoakJournal.Incarnation;
 import nettlewick.stubs.DiscoveryServer;
@@ -62,12 +60,6 @@
         void run() throws IOException;
     }
 
-    private static final int SLOTS = 8;
-    private static final int QUEUE = 8;
-    private static final double REPORT_AGE_MILLIS = 20;
-    private static final double DRAIN_GRACE_MILLIS = 500;
-    private static final int SOCKETS = 256;
-    private static final int MEMORY_MEGABYTES = 192;
     private static final double START_TIMEOUT_MILLIS = 60_000;
     private static final double TAIL_MILLIS = 1000;
     private static final long STEP_MICROS = 300;
@@ -76,6 +68,7 @@
     private static final double NANOS_PER_MILLI = 1e6;
 
     private final SoakPlan plan;
+    private final SoakConfig config;
     private final Path folder;
     private final Vertx vertx = Vertx.vertx();
     private final long beganNanos = System.nanoTime();
@@ -95,21 +88,21 @@
     private final PriorityQueue<Due> due =
             new PriorityQueue<>(Comparator.comparingDouble(Due::at).thenComparingInt(Due::order));
     private final List<Thread> clients = new ArrayList<>();
-    private final List<Socket> crowd = new ArrayList<>();
+    private final IdleCrowd crowd = new IdleCrowd();
     private double loadBeganAt;
     private int pendingRestarts;
     private volatile boolean stopped;
 
     SoakRun(SoakPlan plan, Path folder) throws Exception {
         this.plan = plan;
+        config = new SoakConfig(plan);
         this.folder = folder;
         discoveryInUse = new int[plan.dispatchers()];
         discovery = new DiscoveryServer(
                 vertx, plan.dispatchers(), 0, journal::drainTold, this::now, (d, runner) -> addresses.get(runner));
-        EndpointModel.Kind kind =
-                new EndpointModel.Kind(SLOTS, QUEUE, 0, 1, Double.MAX_VALUE, 1000, REPORT_AGE_MILLIS, true);
         for (int r = 0; r < plan.runners(); r++) {
-            EndpointModel model = new EndpointModel("s" + r, "a", 1, kind, Double.NEGATIVE_INFINITY);
+            EndpointModel model =
+                    new EndpointModel("s" + r, SoakConfig.ZONE, 1, SoakConfig.ENDPOINTS, Double.NEGATIVE_INFINITY);
             EndpointServer runner = new EndpointServer("127.0.0.1", model, vertx, this, this::now);
             addresses.put(runner, runner.listen());
             runners.add(runner);
@@ -128,43 +121,9 @@
 
     private Map<String, Object> config(int number) {
         Fleet.DispatcherProcess member = fleet.members.get(number);
-        Map<String, Object> config = new LinkedHashMap<>();
-        config.put("name", "n" + number);
-        config.put("listen", ScenarioRun.text(member.listen));
-        config.put("discovery", ScenarioRun.text(discoveryAddresses.get(number).get(discoveryInUse[number])));
-        config.put("seed", String.format("%016x", plan.seed() * 1000 + number * 10L + member.lives));
-        config.put("limits", Map.of("cores", 1.0, "memory_mb", MEMORY_MEGABYTES, "sockets", SOCKETS));
-        if (member.lives > 1) {
-            config.put("known", new Gson().fromJson(new Gson().toJson(discovery.known(number)), Map.class));
-        }
-        config.put("settings", Fleet.settings(scenario(), number));
-        return config;
-    }
-
-    private Scenario scenario() {
-        List<Scenario.JobClass> classes = plan.classes().stream()
-                .map(c -> new Scenario.JobClass(
-                        c.name(), 1, c.meanWorkMillis(), c.deadlineMillis() / 2, c.deadlineMillis()))
-                .toList();
-        EndpointModel.Kind kind = new EndpointModel.Kind(SLOTS, QUEUE, 0, 1, 1, 1, REPORT_AGE_MILLIS, true);
-        return new Scenario(
-                new Scenario.World(
-                        plan.seed(),
-                        plan.dispatchers(),
-                        List.of(new Scenario.Kind(plan.runners(), 1)),
-                        List.of("a"),
-                        kind,
-                        false,
-                        true,
-                        false,
-                        0,
-                        DRAIN_GRACE_MILLIS,
-                        0,
-                        Map.of()),
-                new Scenario.Load(0, 0, 0, 1, 1, false, 1000, classes, List.of(new Scenario.Member("red", 1, 1))),
-                new Scenario.LinkSettings(0, 0, 0, 0, false),
-                List.of(),
-                null);
+        InetSocketAddress discoveryAddress = discoveryAddresses.get(number).get(discoveryInUse[number]);
+        Map<String, Object> known = member.lives > 1 ? discovery.known(number) : null;
+        return config.of(member, discoveryAddress, known);
     }
 
     /** Plays the plan and checks the journal. */
@@ -189,7 +148,8 @@
             client.join();
         }
         holdUps.close();
-        SoakChecks checks = new SoakChecks(journal, plan, DRAIN_GRACE_MILLIS, ScenarioRun.ATTEMPTS, loadBeganAt);
+        SoakChecks checks =
+                new SoakChecks(journal, plan, SoakConfig.DRAIN_GRACE_MILLIS, ScenarioRun.ATTEMPTS, loadBeganAt);
         List<SoakChecks.Break> breaks = checks.run();
         double killLate = journal.allIncarnations().stream()
                 .mapToDouble(p -> p.killedAt() - p.killDueAt())
@@ -229,7 +189,7 @@
         });
         if (plan.crowd() > 0) {
             plan(loadBeganAt + plan.crowdSpan().from(), this::gather);
-            plan(loadBeganAt + plan.crowdSpan().to(), this::disperse);
+            plan(loadBeganAt + plan.crowdSpan().to(), crowd::close);
         }
     }
 
@@ -345,29 +305,7 @@
         discovery.silent(loadBeganAt + plan.crowdSpan().to());
         List<InetSocketAddress> targets =
                 balanced.values().stream().map(SoakClient.Target::address).toList();
-        CompletableFuture.runAsync(
-                () -> targets.forEach(target -> IntStream.range(0, plan.crowd()).forEach(i -> connectIdle(target))));
-    }
-
-    private void connectIdle(InetSocketAddress target) {
-        try {
-            Socket socket = new Socket();
-            socket.connect(target, CONNECT_TIMEOUT_MILLIS);
-            synchronized (crowd) {
-                crowd.add(socket);
-            }
-        } catch (IOException e) {
-            // It takes no more connections, as it may.
-        }
-    }
-
-    private void disperse() throws IOException {
-        synchronized (crowd) {
-            for (Socket socket : crowd) {
-                socket.close();
-            }
-            crowd.clear();
-        }
+        crowd.gather(targets, plan.crowd());
     }
 
     /** Notes when processes end. */
@@ -409,17 +347,8 @@
     public void close() throws Exception {
         stopped = true;
         holdUps.close();
-        disperse();
+        crowd.close();
         fleet.close();
         StubPlatform.get(vertx.close());
     }
-
-    /** Deletes what a soak without a break leaves. */
-    static void delete(Path folder) throws IOException {
-        try (Stream<Path> files = Files.walk(folder)) {
-            for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
-                Files.delete(file);
-            }
-        }
-    }
 }
