The command line gives a dispatcher its operators' frontend; net no longer starts one

Change: net.AdminServer and net.Operations are its own interfaces, serve and demo hand in the frontend, and ArchitectureTest holds admin among the fronts; WarmUp owns the frontend that it warms up by; the core fixture makes its classes by a method. No change of behaviour. Measured: tests of admin, core, golden answers, starts and layout pass.

--- a/src/main/java/nettlewick/admin/AdminFrontend.java
+++ b/src/main/java/nettlewick/admin/AdminFrontend.java
@@ -19,14 +19,17 @@
 import java.util.Set;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import nettlewick.net.AdminServer;
+import nettlewick.net.Operations;
+import nettlewick.net.config.DescriptorBudget;
 
 /**
  * Serves the operators' HTTP interface, one call a connection. It has an event loop and a listener of its own, so that
  * neither clients nor work for them delay an answer, and holds no state of the dispatcher.
  */
-public final class AdminFrontend {
+public final class AdminFrontend implements AdminServer {
     /** Connections held at once; beyond it the oldest is closed, since idle ones would use up file descriptors. */
-    public static final int MAX_CONNECTIONS = 24;
+    public static final int MAX_CONNECTIONS = DescriptorBudget.MAX_ADMIN_CONNECTIONS;
 
     /** From connecting to the close. */
     private static final long CALL_TIMEOUT_MILLIS = 4500;
@@ -65,7 +68,7 @@
         eventLoop = vertx.getOrCreateContext();
     }
 
-    /** Starts to listen; completes with the port. */
+    @Override
     public Future<Integer> listen() {
         HttpServer server = vertx.createHttpServer(new HttpServerOptions()
                 .setTcpNoDelay(true)
@@ -182,7 +185,7 @@
         }
     }
 
-    /** Stops listening and ends the event loop. */
+    @Override
     public Future<Void> close() {
         return vertx.close();
     }
--- a/src/main/java/nettlewick/cli/DemoCommand.java
+++ b/src/main/java/nettlewick/cli/DemoCommand.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
+import nettlewick.admin.AdminFrontend;
 import nettlewick.core.Clock;
 import nettlewick.ledger.LedgerService;
 import nettlewick.ledger.LedgerSettings;
@@ -82,7 +83,8 @@
                 EventStreamConfig.of(settings.block("edge").orElseThrow());
         DispatcherServer server = new DispatcherServer(
                         config, clock, PlatformFrontend::new, base -> new EventStreamFrontend(base, eventStreams))
-                .recordUsageWith(ledger.books());
+                .recordUsageWith(ledger.books())
+                .serveOperatorsWith(AdminFrontend::new);
         StubPlatform.get(server.start());
         Thread shutdown = new Thread(() -> shutDown(server, ledger, platform, folder), "demo-end");
         Runtime.getRuntime().addShutdownHook(shutdown);
--- a/src/main/java/nettlewick/cli/ServeCommand.java
+++ b/src/main/java/nettlewick/cli/ServeCommand.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import nettlewick.admin.AdminFrontend;
 import nettlewick.core.Clock;
 import nettlewick.log.ComponentLogger;
 import nettlewick.net.DispatcherServer;
@@ -67,7 +68,9 @@
         DispatcherServer server = new DispatcherServer(
                         config, clock, hotRestart(config, clock), frontends.toArray(Frontend.Factory[]::new))
                 .recordUsageWith(features.usageRecorder())
-                .notifyListener(features.requestListener());
+                .notifyListener(features.requestListener())
+                // No method reference: linking one would load the class where there are no operators.
+                .serveOperatorsWith((address, operations) -> new AdminFrontend(address, operations));
         // By itself the JVM would end on SIGTERM with code 143 at once; requests in flight are answered first.
         Runtime.getRuntime()
                 .addShutdownHook(new Thread(
--- a/src/main/java/nettlewick/net/AdminOperations.java
+++ b/src/main/java/nettlewick/net/AdminOperations.java
@@ -4,7 +4,6 @@
 import io.vertx.core.Promise;
 import java.io.IOException;
 import java.util.Map;
-import nettlewick.admin.Operations;
 import nettlewick.core.Metrics;
 import nettlewick.log.ComponentLogger;
 
--- a/src/main/java/nettlewick/net/DispatcherServer.java
+++ b/src/main/java/nettlewick/net/DispatcherServer.java
@@ -10,7 +10,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
-import nettlewick.admin.AdminFrontend;
 import nettlewick.core.Clock;
 import nettlewick.core.RequestCoordinator;
 import nettlewick.core.RequestListener;
@@ -19,7 +18,6 @@
 import nettlewick.log.ComponentLogger;
 import nettlewick.net.client.ConnectionLimiter;
 import nettlewick.net.client.Frontend;
-import nettlewick.net.client.PlatformFrontend;
 import nettlewick.net.config.DescriptorBudget;
 import nettlewick.net.config.PlatformConfig;
 import nettlewick.net.discovery.DiscoveryWatch;
@@ -70,7 +68,9 @@
     private final List<Frontend.Factory> frontendFactories;
     private final List<Frontend> frontends = new ArrayList<>();
     private final ServiceState serviceState = new ServiceState();
-    private final AdminFrontend adminFrontend;
+    /** Null where operators have no address to call. */
+    private AdminServer adminServer;
+
     private volatile int adminPort;
     private volatile boolean hasEndpointList;
     private volatile boolean warmedUp;
@@ -100,9 +100,6 @@
                 Math.max(1, maxClientConnections / Math.max(1, frontendFactories.length) - SPARE_CONNECTIONS);
         vertx = VertxFactory.create(connectionLimiter);
         eventLoop = vertx.getOrCreateContext();
-        adminFrontend = config.adminListen() == null
-                ? null
-                : new AdminFrontend(config.adminListen(), new AdminOperations(this));
     }
 
     /** Sets what records usage; to be called before {@link #start}. */
@@ -117,6 +114,13 @@
         return this;
     }
 
+    /** Sets what operators call, where the configuration has an address for it; to be called before {@link #start}. */
+    public DispatcherServer serveOperatorsWith(AdminServer.Factory factory) {
+        adminServer =
+                config.adminListen() == null ? null : factory.create(config.adminListen(), new AdminOperations(this));
+        return this;
+    }
+
     /** Starts all parts; completes once the sockets listen and this process accepts clients. */
     public Future<Void> start() {
         Promise<Void> started = Promise.promise();
@@ -208,7 +212,7 @@
     private Future<Void> startAlone(Frontend.Environment environment) {
         return peerSocket
                 .listen(coordinator::receivePeerMessage)
-                .compose(v -> warmUpPrivately(environment))
+                .compose(v -> warmUp(environment))
                 .compose(v -> listenOnFrontends())
                 .mapEmpty();
     }
@@ -221,25 +225,15 @@
     private Future<Void> startAsSuccessor(Future<Void> firstUpdate, Frontend.Environment environment) {
         LOG.info("succeeds", "another process serves here; this one is to succeed it");
         peerSocket.listenWhenPortIsFree(coordinator::receivePeerMessage);
-        return warmUpPrivately(environment)
+        return warmUp(environment)
                 .compose(v -> firstUpdate)
                 .compose(v -> handover.whenPredecessorIdle())
                 .compose(v -> listenOnFrontends())
                 .mapEmpty();
     }
 
-    /** Warms up by requests to a frontend at a port that no client knows. */
-    private Future<Void> warmUpPrivately(Frontend.Environment environment) {
-        Frontend privateFrontend = new PlatformFrontend(new Frontend.Environment(
-                vertx,
-                eventLoop,
-                config.withFreeListenPort(),
-                clock,
-                coordinator,
-                () -> true,
-                serviceState,
-                connectionsPerFrontend));
-        return privateFrontend.listen().compose(this::warmUp).compose(v -> privateFrontend.closeConnections(0));
+    private Future<Void> warmUp(Frontend.Environment environment) {
+        return WarmUp.run(environment, endpointPools.client()).onComplete(v -> warmedUp = true);
     }
 
     private Future<CompositeFuture> listenOnFrontends() {
@@ -267,20 +261,9 @@
     }
 
     private Future<Void> listenAdmin() {
-        return adminFrontend == null
+        return adminServer == null
                 ? Future.succeededFuture()
-                : adminFrontend.listen().onSuccess(port -> adminPort = port).mapEmpty();
-    }
-
-    private Future<Void> warmUp(int port) {
-        if (port <= 0) {
-            warmedUp = true;
-            return Future.succeededFuture();
-        }
-        SocketAddress ownAddress =
-                SocketAddress.inetSocketAddress(port, config.listen().hostAddress());
-        WarmUp.warmUpScheduler(config.settings());
-        return WarmUp.warmUpSockets(endpointPools.client(), ownAddress).onComplete(v -> warmedUp = true);
+                : adminServer.listen().onSuccess(port -> adminPort = port).mapEmpty();
     }
 
     /** The frontends, in the order of their factories. */
@@ -399,7 +382,7 @@
             hotRestart.close();
         }
         return stopped.future()
-                .compose(v -> adminFrontend == null ? Future.succeededFuture() : adminFrontend.close())
+                .compose(v -> adminServer == null ? Future.succeededFuture() : adminServer.close())
                 .compose(v -> vertx.close());
     }
 }
--- a/src/main/java/nettlewick/net/Operations.java
+++ b/src/main/java/nettlewick/net/Operations.java
@@ -1,4 +1,4 @@
-package nettlewick.admin;
+package nettlewick.net;
 
 import io.vertx.core.Future;
 import java.util.Map;
--- a/src/main/java/nettlewick/net/WarmUp.java
+++ b/src/main/java/nettlewick/net/WarmUp.java
@@ -26,6 +26,9 @@
 import nettlewick.decision.Event.Timer;
 import nettlewick.decision.SchedulerSettings;
 import nettlewick.decision.SchedulerSettings.RequestClass;
+import nettlewick.net.client.Frontend;
+import nettlewick.net.client.PlatformFrontend;
+import nettlewick.net.config.PlatformConfig;
 
 /**
  * Exercises the path of a request before the first one arrives, so that no client waits for classes to be
@@ -40,8 +43,31 @@
 
     private WarmUp() {}
 
+    /** Warms up by requests to a frontend at a port that no client knows; completes once that is closed. */
+    static Future<Void> run(Frontend.Environment environment, HttpClientAgent client) {
+        PlatformConfig privateConfig = environment.config().withFreeListenPort();
+        Frontend privateFrontend = new PlatformFrontend(new Frontend.Environment(
+                environment.vertx(),
+                environment.eventLoop(),
+                privateConfig,
+                environment.clock(),
+                environment.coordinator(),
+                () -> true,
+                environment.serviceState(),
+                environment.maxConnections()));
+        return privateFrontend
+                .listen()
+                .compose(port -> {
+                    warmUpScheduler(privateConfig.settings());
+                    SocketAddress address = SocketAddress.inetSocketAddress(
+                            port, privateConfig.listen().hostAddress());
+                    return warmUpSockets(client, address);
+                })
+                .compose(v -> privateFrontend.closeConnections(0));
+    }
+
     /** Requests the own health page repeatedly on one connection; a failure ends it quietly. */
-    static Future<Void> warmUpSockets(HttpClientAgent client, SocketAddress listen) {
+    private static Future<Void> warmUpSockets(HttpClientAgent client, SocketAddress listen) {
         return client.connect(new HttpConnectOptions()
                         .setServer(listen)
                         .setHost(listen.hostAddress())
@@ -62,7 +88,7 @@
     }
 
     /** Lets a scheduler whose actions nobody carries out decide on made-up requests. */
-    static void warmUpScheduler(SchedulerSettings settings) {
+    private static void warmUpScheduler(SchedulerSettings settings) {
         Dispatcher scheduler = Dispatcher.create(settings, 1);
         List<EndpointEntry> endpoints = new ArrayList<>();
         for (int i = 0; i < SYNTHETIC_ENDPOINTS; i++) {
--- a/src/main/java/nettlewick/net/config/DescriptorBudget.java
+++ b/src/main/java/nettlewick/net/config/DescriptorBudget.java
@@ -1,7 +1,5 @@
 package nettlewick.net.config;
 
-import nettlewick.admin.AdminFrontend;
-
 /** How the descriptors that a dispatcher may open are divided between clients, endpoints and operators. */
 public final class DescriptorBudget {
     /** One descriptor in this many is for clients. */
@@ -9,7 +7,10 @@
     /** Descriptors for neither clients nor endpoints: jar files, listeners, the discovery watch, selectors. */
     private static final int RESERVED = 64;
     /** Descriptors of the admin frontend: its callers, its listener, its two selectors. */
-    private static final int ADMIN = AdminFrontend.MAX_CONNECTIONS + 8;
+    /** How many connections of operators may be open. */
+    public static final int MAX_ADMIN_CONNECTIONS = 24;
+
+    private static final int ADMIN = MAX_ADMIN_CONNECTIONS + 8;
 
     private DescriptorBudget() {}
 
--- a/src/test/java/nettlewick/ArchitectureTest.java
+++ b/src/test/java/nettlewick/ArchitectureTest.java
@@ -124,7 +124,7 @@
             .layer("cli")
             .definedBy("nettlewick.cli..")
             .layer("fronts")
-            .definedBy("nettlewick.sse..", "nettlewick.pcap..")
+            .definedBy("nettlewick.admin..", "nettlewick.sse..", "nettlewick.pcap..")
             .layer("net")
             .definedBy("nettlewick.net..")
             .layer("core")
--- a/src/test/java/nettlewick/core/RequestCoordinatorFixture.java
+++ b/src/test/java/nettlewick/core/RequestCoordinatorFixture.java
@@ -33,16 +33,17 @@
     /** Tests of usage records set it before {@link #createCoordinator}. */
     UsageRecorder usageRecorder = UsageRecorder.NONE;
 
+    private static RequestClass requestClass(String name, Idempotency idempotency) {
+        return new RequestClass(name, idempotency, Scope.ALL, 0, 1, 0, 1, 1, 0, false, -1, 0);
+    }
+
     @BeforeEach
     void createCoordinator() throws InterruptedException {
         SchedulerSettings settings = new SchedulerSettings(
                 0,
                 1,
                 null,
-                List.of(
-                        new RequestClass("c", Idempotency.IDEMPOTENT, Scope.ALL, 0, 1, 0, 1, 1, 0, false, -1, 0),
-                        new RequestClass(
-                                "once", Idempotency.NON_IDEMPOTENT, Scope.ALL, 0, 1, 0, 1, 1, 0, false, -1, 0)),
+                List.of(requestClass("c", Idempotency.IDEMPOTENT), requestClass("once", Idempotency.NON_IDEMPOTENT)),
                 List.of(),
                 List.of(),
                 false,
--- a/src/test/java/nettlewick/net/DispatcherOnStubPlatform.java
+++ b/src/test/java/nettlewick/net/DispatcherOnStubPlatform.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import nettlewick.admin.AdminFrontend;
 import nettlewick.core.Clock;
 import nettlewick.core.UsageRecorder;
 import nettlewick.net.client.Frontend;
@@ -34,7 +35,8 @@
                         PlatformConfig.parse(new Gson().toJson(config), Map.of()),
                         Clock.system(),
                         fronts.toArray(Frontend.Factory[]::new))
-                .recordUsageWith(usageRecorder);
+                .recordUsageWith(usageRecorder)
+                .serveOperatorsWith(AdminFrontend::new);
         get(node.start());
         if (hasRunners()) {
             until(node::hasEndpointList);
--- a/src/test/java/nettlewick/net/FragmentedMessagesTest.java
+++ b/src/test/java/nettlewick/net/FragmentedMessagesTest.java
@@ -19,7 +19,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import nettlewick.admin.AdminFrontend;
-import nettlewick.admin.Operations;
 import nettlewick.core.Metrics;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
