Processes that start again find their ports free: they are reserved below the kernel's range

Cause: free ports were drawn from the range from which the kernel gives ports to any socket, and given back until the process listens; another fork's wildcard socket could take them, above all while a process was dead. Change: ReservedPorts draws from 12000 to 31999 and holds the UDP port of the same number at a loopback address that nothing else uses, so two forks never draw one.

--- a/src/main/java/nettlewick/fleettest/Fleet.java
+++ b/src/main/java/nettlewick/fleettest/Fleet.java
@@ -2,10 +2,8 @@
 
 import com.google.gson.Gson;
 import java.io.IOException;
-import java.net.DatagramSocket;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -17,6 +15,7 @@
 import java.util.function.IntToLongFunction;
 import java.util.stream.Stream;
 import nettlewick.stubs.EndpointServer;
+import nettlewick.stubs.ReservedPorts;
 
 /**
  * The real processes: each a {@code serve} of the built jar with an address, a configuration and a log of
@@ -119,20 +118,20 @@
         this.folder = Files.createDirectories(folder);
         this.config = config;
         command = command();
+        // Each process has an address of its own, so all may use the same ports; reserved ones, since a process that is
+        // dead for a while must find them free again.
+        int listen = ReservedPorts.reserve();
+        int peer = ReservedPorts.reserve();
+        int admin = ReservedPorts.reserve();
+        int duty = ReservedPorts.reserve();
         for (int i = 0; i < size; i++) {
             InetAddress own = address(NET, i);
-            // Danger: asked for one after the other, both might be the same port.
-            try (ServerSocket listen = new ServerSocket(0, 1, own);
-                    ServerSocket admin = new ServerSocket(0, 1, own);
-                    DatagramSocket peer = new DatagramSocket(0, own);
-                    DatagramSocket duty = new DatagramSocket(0, own)) {
-                members.add(new DispatcherProcess(
-                        i,
-                        new InetSocketAddress(own, listen.getLocalPort()),
-                        new InetSocketAddress(own, peer.getLocalPort()),
-                        new InetSocketAddress(own, admin.getLocalPort()),
-                        new InetSocketAddress(own, duty.getLocalPort())));
-            }
+            members.add(new DispatcherProcess(
+                    i,
+                    new InetSocketAddress(own, listen),
+                    new InetSocketAddress(own, peer),
+                    new InetSocketAddress(own, admin),
+                    new InetSocketAddress(own, duty)));
         }
         Runtime.getRuntime().addShutdownHook(hook);
     }
--- a/src/main/java/nettlewick/stubs/ReservedPorts.java
+++ b/src/main/java/nettlewick/stubs/ReservedPorts.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.net.DatagramSocket;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.SocketException;
@@ -12,7 +11,7 @@
 import java.util.random.RandomGenerator;
 
 /**
- * TCP ports for processes that are started, ended and started again at the same address. They lie below the range from
+ * Ports for processes that are started, ended and started again at the same address. They lie below the range from
  * which the kernel draws ports, so no other socket takes one by chance, and each is reserved among processes that use
  * this class by the UDP port of the same number, which stays bound until this process ends. Safe for any thread.
  */
@@ -21,6 +20,9 @@
     private static final int LAST_PORT = 31_999;
     private static final int MAX_TRIES = 1000;
 
+    /** A loopback address that nothing else uses. */
+    private static final String RESERVING_ADDRESS = "127.255.255.254";
+
     private static final RandomGenerator RANDOM = new SecureRandom();
     /** Kept so that they stay bound. */
     private static final List<DatagramSocket> RESERVATIONS = new ArrayList<>();
@@ -44,8 +46,7 @@
 
     private static boolean reserve(int port) {
         try {
-            DatagramSocket reservation =
-                    new DatagramSocket(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
+            DatagramSocket reservation = new DatagramSocket(new InetSocketAddress(RESERVING_ADDRESS, port));
             if (isFree(port)) {
                 RESERVATIONS.add(reservation);
                 return true;
--- a/src/test/java/nettlewick/cli/AlternativeSettingsProcessTest.java
+++ b/src/test/java/nettlewick/cli/AlternativeSettingsProcessTest.java
@@ -6,7 +6,6 @@
 import com.google.gson.Gson;
 import io.vertx.core.http.HttpServerRequest;
 import java.io.IOException;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -23,6 +22,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.IntStream;
 import nettlewick.net.DispatcherOnStubPlatform;
+import nettlewick.stubs.ReservedPorts;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -57,9 +57,7 @@
     }
 
     private static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0)) {
-            return socket.getLocalPort();
-        }
+        return ReservedPorts.reserve();
     }
 
     private static Map<String, Object> jobClass(String name, String repeat) {
--- a/src/test/java/nettlewick/cli/EndpointListProcessTest.java
+++ b/src/test/java/nettlewick/cli/EndpointListProcessTest.java
@@ -5,7 +5,6 @@
 
 import com.google.gson.Gson;
 import java.io.IOException;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -14,6 +13,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import nettlewick.stubs.ReservedPorts;
 import nettlewick.stubs.StubPlatform;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -44,10 +44,7 @@
     }
 
     private int start(Map<String, Object> config) throws Exception {
-        int port;
-        try (ServerSocket socket = new ServerSocket(0)) {
-            port = socket.getLocalPort();
-        }
+        int port = ReservedPorts.reserve();
         config.put("listen", "127.0.0.1:" + port);
         Path file = Files.writeString(dir.resolve("config" + processes.size()), new Gson().toJson(config));
         Path log = Files.createFile(dir.resolve("log" + processes.size()));
--- a/src/test/java/nettlewick/cli/LedgerKillProcessTest.java
+++ b/src/test/java/nettlewick/cli/LedgerKillProcessTest.java
@@ -7,7 +7,6 @@
 import com.google.gson.Gson;
 import java.io.IOException;
 import java.io.InputStream;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -27,6 +26,7 @@
 import nettlewick.net.DispatcherOnStubPlatform;
 import nettlewick.settings.Settings;
 import nettlewick.stubs.Receiver;
+import nettlewick.stubs.ReservedPorts;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
@@ -44,9 +44,7 @@
     private Path dir;
 
     private static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0)) {
-            return socket.getLocalPort();
-        }
+        return ReservedPorts.reserve();
     }
 
     private Path conf(String name, String more) throws IOException {
--- a/src/test/java/nettlewick/cli/SignalsProcessTest.java
+++ b/src/test/java/nettlewick/cli/SignalsProcessTest.java
@@ -6,13 +6,13 @@
 
 import com.google.gson.Gson;
 import java.io.IOException;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import nettlewick.net.DispatcherOnStubPlatform;
 import nettlewick.net.RawClient;
+import nettlewick.stubs.ReservedPorts;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -55,10 +55,7 @@
     /** Neither a reload nor a second SIGTERM may cut a graceful shutdown short. */
     @Test
     void aGracefulShutdownAnswersAllRequestsThoughSignalsCross() throws Exception {
-        int port;
-        try (ServerSocket socket = new ServerSocket(0)) {
-            port = socket.getLocalPort();
-        }
+        int port = ReservedPorts.reserve();
         try (DispatcherOnStubPlatform world = new DispatcherOnStubPlatform()) {
             world.addRunner("s-1");
             Map<String, Object> config = world.config();
--- a/src/test/java/nettlewick/net/HotRestartTest.java
+++ b/src/test/java/nettlewick/net/HotRestartTest.java
@@ -10,7 +10,6 @@
 import com.google.gson.Gson;
 import java.io.IOException;
 import java.io.InputStream;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -21,6 +20,7 @@
 import nettlewick.net.client.PlatformFrontend;
 import nettlewick.net.config.PlatformConfig;
 import nettlewick.net.lifecycle.HotRestart;
+import nettlewick.stubs.ReservedPorts;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
@@ -56,9 +56,7 @@
     }
 
     private static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0)) {
-            return socket.getLocalPort();
-        }
+        return ReservedPorts.reserve();
     }
 
     /** One job on this connection; its answer's head and body. */
