--- a/src/test/java/nettlewick/cli/RollingRestartProcessTest.java
+++ b/src/test/java/nettlewick/cli/RollingRestartProcessTest.java
@@ -28,6 +28,7 @@
 import java.util.regex.Pattern;
 import nettlewick.net.DispatcherOnStubPlatform;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
@@ -36,6 +37,7 @@
  * A rolling restart of three real dispatcher processes by SIGTERM, under clients that reuse connections, that pipeline
  * requests, and that open a connection for each request.
  */
+@Tag("fleet")
 @Timeout(120)
 class RollingRestartProcessTest {
     private static final int DISPATCHERS = 3;
--- a/src/test/java/nettlewick/fleettest/LabProcessTest.java
+++ b/src/test/java/nettlewick/fleettest/LabProcessTest.java
@@ -5,11 +5,13 @@
 
 import java.nio.file.Path;
 import java.util.Map;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 
 /** Twelve real dispatchers with faults between them: every rule on every job, and counts with room. */
+@Tag("fleet")
 @Timeout(120)
 class LabProcessTest {
     @TempDir
--- a/src/test/java/nettlewick/fleettest/PoolsProcessTest.java
+++ b/src/test/java/nettlewick/fleettest/PoolsProcessTest.java
@@ -9,6 +9,7 @@
 import nettlewick.contention.SimulatedDispatchers;
 import nettlewick.lease.HostileDispatcher;
 import nettlewick.stubs.ProviderServer;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
@@ -17,6 +18,7 @@
  * Twelve real dispatchers that look after members' pools, with faults between them, the voters, the provider and
  * the runners. Every arrival is held against what its dispatcher had been told, every addition against the cap.
  */
+@Tag("fleet")
 @Timeout(150)
 class PoolsProcessTest {
     @TempDir
--- a/src/test/java/nettlewick/fleettest/SoakProcessTest.java
+++ b/src/test/java/nettlewick/fleettest/SoakProcessTest.java
@@ -5,12 +5,14 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** A few seeds of the soak: one with endpoints that hang through the whole shutdown, one with a crowd, one with neither. */
+@Tag("fleet")
 @Timeout(90)
 class SoakProcessTest {
     @TempDir
