The event streams' test keeps ten requests in flight, however slow the machine is

Cause: requests came by the clock, up to 160 at once on a slow machine, more than the stub endpoints' room. Change: the schedule waits while ten are unfinished, about what a machine at rest has in flight; all assertions are unchanged.

--- a/src/test/java/nettlewick/sse/EventStreamFrontendTest.java
+++ b/src/test/java/nettlewick/sse/EventStreamFrontendTest.java
@@ -31,6 +31,9 @@
 @Timeout(60)
 @TestMethodOrder(MethodOrderer.OrderAnnotation.class)
 class EventStreamFrontendTest {
+    /** About how many requests are in flight at once where the machine is not held up. */
+    private static final int MAX_UNFINISHED = 10;
+
     private DispatcherOnStubPlatform world;
     private HttpClient client;
     private int port;
@@ -223,6 +226,8 @@
                 some.reconnect(client);
             }
             TimeUnit.MILLISECONDS.sleep(random.nextInt(12));
+            // A slow machine is given fewer requests a second, not more at once than the endpoints have room for.
+            until(() -> all.stream().filter(w -> w.finalEventCount() == 0).count() < MAX_UNFINISHED);
         }
         for (EventStreamClient w : all) {
             awaitEnd(w);
