The soak's endpoints tell the earliest time at which an attempt may have come

Change: endpoints tick on their event loop, and what they read late, or just after a hold-up, counts from the hold-up's beginning.

--- a/src/main/java/nettlewick/stubs/EndpointServer.java
+++ b/src/main/java/nettlewick/stubs/EndpointServer.java
@@ -22,7 +22,12 @@
         /** An attempt has come whole. */
         void arrived(String id, EndpointModel runner, EndpointModel.Taken how, double now);
 
-        /** An attempt has come whole, with the seconds that it was told; {@code how}: null where it is swallowed. */
+        /**
+         * An attempt has come whole, with the seconds that it was told.
+         *
+         * @param how null where it is swallowed
+         * @param now the earliest time at which it may have come, where this process was late to read it
+         */
         default void told(String id, EndpointModel runner, EndpointModel.Taken how, double seconds, double now) {}
 
         /** A job begins to run. */
@@ -63,6 +68,8 @@
     public volatile double emptyUntil;
     private volatile Report report = new Report(Double.NEGATIVE_INFINITY, "");
     private boolean fell;
+    /** Made on the event loop that reads the first request; all connections of a server share it. */
+    private ReadTimes readTimes;
 
     /** @param host the loopback address that it listens at, its own; @param clock milliseconds */
     public EndpointServer(String host, EndpointModel model, Vertx vertx, Watch watch, DoubleSupplier clock) {
@@ -119,6 +126,11 @@
     private void serve(HttpServerRequest request) {
         double now = clock.getAsDouble();
         request.exceptionHandler(e -> {});
+        if (readTimes == null) {
+            readTimes = new ReadTimes(now);
+            vertx.setPeriodic(ReadTimes.TICK_MILLIS, id -> readTimes.tick(clock.getAsDouble()));
+        }
+        double readAt = readTimes.earliestArrival(now);
         boolean isHung = now < hungUntil;
         if (request.method() == HttpMethod.GET) {
             if (isHung) {
@@ -129,9 +141,9 @@
         }
         request.body().onSuccess(body -> {
             if (isHung) {
-                tell(request, null);
+                tell(request, null, readAt);
             } else {
-                take(request, Double.parseDouble(body.toString()));
+                take(request, Double.parseDouble(body.toString()), readAt);
             }
         });
     }
@@ -150,13 +162,13 @@
         return report.text();
     }
 
-    private void take(HttpServerRequest request, double work) {
+    private void take(HttpServerRequest request, double work, double readAt) {
         double now = clock.getAsDouble();
         String id = request.getHeader("X-Request-Id");
         HttpServerResponse response = request.response();
         response.exceptionHandler(e -> {});
         if (now < hungUntil || !model.up()) {
-            tell(request, null);
+            tell(request, null, readAt);
             return;
         }
         List<EndpointModel.Begun> begun = new ArrayList<>();
@@ -165,7 +177,7 @@
         taken.put(own, new Taken(response));
         EndpointModel.Taken how = model.offer(own, work, now, begun);
         watch.arrived(id, model, how, now);
-        tell(request, how);
+        tell(request, how, readAt);
         if (model.fallen() && !fell) {
             fell = true;
             watch.fell(model, now);
@@ -182,14 +194,14 @@
         begun.forEach(this::begin);
     }
 
-    private void tell(HttpServerRequest request, EndpointModel.Taken how) {
+    private void tell(HttpServerRequest request, EndpointModel.Taken how, double readAt) {
         String deadline = request.getHeader("X-Deadline");
         watch.told(
                 request.getHeader("X-Request-Id"),
                 model,
                 how,
                 deadline == null ? Double.NaN : Double.parseDouble(deadline),
-                clock.getAsDouble());
+                readAt);
     }
 
     private static String plain(String own) {
