--- a/src/main/java/nettlewick/cli/FleetTestCommand.java
+++ b/src/main/java/nettlewick/cli/FleetTestCommand.java
@@ -7,33 +7,51 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import nettlewick.fleettest.Lab;
+import nettlewick.fleettest.Soak;
 import nettlewick.settings.InvalidSettingsException;
 
 /** Runs a fleet of real dispatcher processes through a scenario of faults, or compares the results of two runs. */
 @Parameters(
         commandDescription = "check FILE, run FILE (a fleet of real processes with"
-                + " faults between them), or compare FOLDER FOLDER")
+                + " faults between them), compare FOLDER FOLDER, or soak (rolling restarts drawn from seeds)")
 final class FleetTestCommand implements Command {
-    @Parameter(description = "check FILE | run FILE | compare FOLDER FOLDER", required = true)
+    @Parameter(description = "check FILE | run FILE | compare FOLDER FOLDER | soak", required = true)
     private List<String> arguments = new ArrayList<>();
 
     @Parameter(names = "--out", description = "Folder for what a run leaves")
     private String outputFolder = "lab-run";
 
+    @Parameter(names = "--from", description = "The first seed of a soak")
+    private long firstSeed = 1;
+
+    @Parameter(names = "--seeds", description = "How many seeds a soak plays")
+    private int seedCount = 1;
+
+    /** The actions, and of how many words each consists. */
+    private static final Map<String, Integer> WORD_COUNTS = Map.of("check", 2, "run", 2, "compare", 3, "soak", 1);
+
     private static final String ERASE_TO_END_OF_LINE = "\u001b[K";
 
     @Override
     public int run() {
         String action = arguments.get(0);
         boolean compares = action.equals("compare");
-        if (!List.of("check", "run", "compare").contains(action) || arguments.size() != (compares ? 3 : 2)) {
+        Integer wordCount = WORD_COUNTS.get(action);
+        if (wordCount == null || arguments.size() != wordCount) {
             throw new UsageException(
                     Main.USAGE_ERROR,
-                    "fleet-test: expected check FILE, run FILE or compare FOLDER FOLDER, got "
+                    "fleet-test: expected check FILE, run FILE, compare FOLDER FOLDER or soak, got "
                             + String.join(" ", arguments));
         }
         try {
+            if (action.equals("soak")) {
+                return Soak.run(firstSeed, seedCount, Path.of(outputFolder), System.out::println)
+                                .isEmpty()
+                        ? 0
+                        : Main.FAILED;
+            }
             Path first = Path.of(arguments.get(1));
             if (compares) {
                 Lab.compare(first, Path.of(arguments.get(2)), System.out);
--- a/src/main/java/nettlewick/fleettest/Fleet.java
+++ b/src/main/java/nettlewick/fleettest/Fleet.java
@@ -82,6 +82,16 @@
         }
     }
 
+    /** Is told of what becomes of the processes; called by any thread. */
+    interface ProcessListener {
+        /** A process was sent SIGKILL by this class. */
+        void killed(int number);
+
+        /** A process has ended, by itself or not. */
+        void exited(int number, int exitCode);
+    }
+
+    private final ProcessListener listener;
     private final Path folder;
     private final List<String> command;
     private final IntFunction<Map<String, Object>> config;
@@ -100,8 +110,10 @@
             Path folder,
             IntFunction<Map<String, Object>> config,
             IntFunction<String> more,
-            IntToLongFunction ahead)
+            IntToLongFunction ahead,
+            ProcessListener listener)
             throws IOException {
+        this.listener = listener;
         this.ahead = ahead;
         this.more = more;
         this.folder = Files.createDirectories(folder);
@@ -184,7 +196,9 @@
         m.ready = false;
         m.paused = false;
         m.killed = false;
-        m.process = builder.start();
+        Process started = builder.start();
+        m.process = started;
+        started.onExit().thenAccept(ended -> listener.exited(number, ended.exitValue()));
     }
 
     /** Ends a process at once, as a power loss would. */
@@ -193,6 +207,7 @@
         if (m.alive()) {
             m.cpuBefore += cpu(m.process);
             m.killed = true;
+            listener.killed(number);
             m.process.destroyForcibly();
         }
     }
--- /dev/null
+++ b/src/main/java/nettlewick/fleettest/HoldUps.java
@@ -0,0 +1,145 @@
+package nettlewick.fleettest;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.DoubleSupplier;
+import java.util.stream.Stream;
+
+/**
+ * Measures how long the machine held up this process and each dispatcher, so that time lost here is not taken for a
+ * dispatcher's. Samples on a thread of its own; times in milliseconds of the run's clock. Safe for any thread.
+ */
+final class HoldUps implements AutoCloseable {
+    /** A stretch of time in which something stood still that should not have. */
+    record HoldUp(String who, double from, double to) {
+        private boolean overlaps(double begin, double end) {
+            return from <= end && to >= begin;
+        }
+
+        private String text() {
+            return String.format("%s held up from %.0f to %.0f ms", who, from, to);
+        }
+    }
+
+    private static final long SAMPLE_MILLIS = 10;
+    private static final double MIN_HOLD_UP_MILLIS = 50;
+    /** How often the dispatchers' waits for a core are read, and from which part of that time on one is told. */
+    private static final double WAIT_SAMPLE_MILLIS = 500;
+
+    private static final double MIN_WAIT_PART = 0.2;
+    private static final double NANOS_PER_MILLI = 1e6;
+
+    private final DoubleSupplier clock;
+    private final Fleet fleet;
+    private final List<HoldUp> holdUps = new ArrayList<>();
+    private final double[] waitedMillis;
+    private final long[] sampledPids;
+    private final Thread sampler = new Thread(this::sample, "hold-ups");
+    private double waitsSampledAt;
+    private volatile boolean stopped;
+
+    HoldUps(DoubleSupplier clock, Fleet fleet) {
+        this.clock = clock;
+        this.fleet = fleet;
+        waitedMillis = new double[fleet.members.size()];
+        sampledPids = new long[fleet.members.size()];
+        sampler.setDaemon(true);
+        sampler.start();
+    }
+
+    private void sample() {
+        double before = clock.getAsDouble();
+        try {
+            while (!stopped) {
+                TimeUnit.MILLISECONDS.sleep(SAMPLE_MILLIS);
+                double now = clock.getAsDouble();
+                recordPause("the test's own process", before, now);
+                if (now - waitsSampledAt >= WAIT_SAMPLE_MILLIS) {
+                    sampleWaits(now);
+                }
+                before = clock.getAsDouble();
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Something that should go round all the time did so at these two moments, and not between them. */
+    synchronized void recordPause(String who, double before, double now) {
+        if (now - before > MIN_HOLD_UP_MILLIS) {
+            holdUps.add(new HoldUp(who, before, now));
+        }
+    }
+
+    private void sampleWaits(double now) {
+        double elapsed = now - waitsSampledAt;
+        for (Fleet.DispatcherProcess member : fleet.members) {
+            Process process = member.process;
+            if (process == null || !process.isAlive()) {
+                continue;
+            }
+            double waited = runQueueWaitMillis(process.pid());
+            boolean isSameProcess = sampledPids[member.number] == process.pid();
+            double wait = waited - waitedMillis[member.number];
+            if (isSameProcess && wait > MIN_WAIT_PART * elapsed) {
+                add(new HoldUp(
+                        String.format("n%d (threads waited %.0f ms for a core)", member.number, wait),
+                        waitsSampledAt,
+                        now));
+            }
+            sampledPids[member.number] = process.pid();
+            waitedMillis[member.number] = waited;
+        }
+        waitsSampledAt = now;
+    }
+
+    private synchronized void add(HoldUp holdUp) {
+        holdUps.add(holdUp);
+    }
+
+    /** How long the threads of a process have waited for a core, together; 0 where that is not told. */
+    private static double runQueueWaitMillis(long pid) {
+        try (Stream<Path> threads = Files.list(Path.of("/proc/" + pid + "/task"))) {
+            return threads.mapToDouble(HoldUps::threadWaitNanos).sum() / NANOS_PER_MILLI;
+        } catch (IOException e) {
+            return 0;
+        }
+    }
+
+    private static double threadWaitNanos(Path thread) {
+        try {
+            return Double.parseDouble(
+                    Files.readString(thread.resolve("schedstat")).split(" ")[1]);
+        } catch (IOException | NumberFormatException | ArrayIndexOutOfBoundsException e) {
+            return 0;
+        }
+    }
+
+    /** What stood still between two moments: this process, and that dispatcher. */
+    synchronized List<String> between(double from, double to, int dispatcher) {
+        return holdUps.stream()
+                .filter(holdUp -> holdUp.overlaps(from, to))
+                .filter(holdUp -> !holdUp.who().startsWith("n") || holdUp.who().startsWith("n" + dispatcher + " "))
+                .map(HoldUp::text)
+                .toList();
+    }
+
+    /** The longest time in which this process stood still, in milliseconds. */
+    synchronized double longestOwnMillis() {
+        return holdUps.stream()
+                .filter(holdUp -> !holdUp.who().startsWith("n"))
+                .mapToDouble(holdUp -> holdUp.to() - holdUp.from())
+                .max()
+                .orElse(0);
+    }
+
+    @Override
+    public void close() {
+        stopped = true;
+        sampler.interrupt();
+    }
+}
--- a/src/main/java/nettlewick/fleettest/InvariantChecker.java
+++ b/src/main/java/nettlewick/fleettest/InvariantChecker.java
@@ -16,6 +16,8 @@
     static final double SPARE = 1000;
     /** Between a send and its arrival, on a busy machine and a delayed link. */
     static final double WAY = 250;
+    /** How far from a broken request a process's start or end is still told beside it. */
+    private static final double EVENT_WINDOW = 5000;
 
     /** A job as a client asks for it: one of its tries, with the id that goes with it. */
     private static final class Job {
@@ -41,6 +43,10 @@
     /** All runs of one key: where and when the first send arrived. */
     private record First(double at, String zone) {}
 
+    private record BreakSpan(int dispatcher, double from, double to) {}
+
+    private record ProcessEvent(int dispatcher, double at, String what) {}
+
     private record Excuse(int dispatcher, double from, double to, boolean drainsOnly) {}
 
     private final Scenario scenario;
@@ -51,6 +57,10 @@
     private final Map<String, Double> drainTold = new HashMap<>();
     private final List<Excuse> excuses = new ArrayList<>();
     private final List<String> breaks = new ArrayList<>();
+    /** Whose request each break is, and from when to when it was under way; in the order of the breaks. */
+    private final List<BreakSpan> spans = new ArrayList<>();
+
+    private final List<ProcessEvent> processEvents = new ArrayList<>();
     private final Map<String, Integer> counts = new TreeMap<>();
 
     private double countFrom;
@@ -157,6 +167,32 @@
                 List.of("offered more than " + scenario.world().runner().factor() + " times what it could"));
     }
 
+    /** Something happened to a dispatcher's process. */
+    synchronized void processEvent(int dispatcher, double now, String what) {
+        processEvents.add(new ProcessEvent(dispatcher, now, what));
+    }
+
+    /** Adds to each break what happened to its dispatcher's process, and what the machine held up, at that time. */
+    synchronized void explainBreaks(HoldUps holdUps) {
+        for (int i = 0; i < breaks.size(); i++) {
+            BreakSpan span = spans.get(i);
+            if (span.dispatcher() >= 0) {
+                List<String> beside = new ArrayList<>(eventsNear(span));
+                beside.addAll(holdUps.between(span.from(), span.to(), span.dispatcher()));
+                breaks.set(i, breaks.get(i) + beside);
+            }
+        }
+    }
+
+    private List<String> eventsNear(BreakSpan span) {
+        return processEvents.stream()
+                .filter(e -> e.dispatcher() == span.dispatcher()
+                        && e.at() >= span.from() - EVENT_WINDOW
+                        && e.at() <= span.to() + EVENT_WINDOW)
+                .map(e -> at(e.at()) + " n" + e.dispatcher() + " " + e.what())
+                .toList();
+    }
+
     /** Discovery has written to a dispatcher that a runner drains. */
     synchronized void toldDrain(int dispatcher, String runner, double now) {
         drainTold.putIfAbsent(dispatcher + " " + runner, now);
@@ -204,6 +240,8 @@
 
     private void broken(String rule, String job, double now, List<String> history) {
         breaks.add(at(now) + " " + job + ": " + rule + " (" + String.join("; ", history) + ")");
+        Job broken = jobs.get(job);
+        spans.add(broken == null ? new BreakSpan(-1, now, now) : new BreakSpan(broken.dispatcher, broken.askedAt, now));
         add(rule, now);
         if (jobs.containsKey(job)) {
             add(rule + " " + jobs.get(job).member, now);
--- a/src/main/java/nettlewick/fleettest/ScenarioRun.java
+++ b/src/main/java/nettlewick/fleettest/ScenarioRun.java
@@ -72,6 +72,7 @@
     /** Set from outside: what the run was for has happened. */
     volatile boolean enough;
 
+    private final HoldUps holdUps;
     private final Histogram lateness = new Histogram(60_000, 3);
     private final Map<String, Double> figures = new LinkedHashMap<>();
     private final List<Results.Second> seconds = new ArrayList<>();
@@ -108,7 +109,9 @@
                 this::config,
                 d -> duties == null ? null : duties.settings(d),
                 d -> (duties == null ? 0 : duties.ahead())
-                        + world.clocks().getOrDefault("n" + d, 0.0).longValue());
+                        + world.clocks().getOrDefault("n" + d, 0.0).longValue(),
+                new ProcessEvents());
+        holdUps = new HoldUps(this::now, fleet);
         for (int d = 0; d < world.dispatchers(); d++) {
             InetSocketAddress direct = discovery.listen(d);
             discoveries.put(d, reach(d, discoveryNumber(), direct));
@@ -127,6 +130,19 @@
         }
     }
 
+    /** Keeps what becomes of the processes beside the requests. */
+    private final class ProcessEvents implements Fleet.ProcessListener {
+        @Override
+        public void killed(int number) {
+            audit.processEvent(number, now(), "SIGKILL sent");
+        }
+
+        @Override
+        public void exited(int number, int exitCode) {
+            audit.processEvent(number, now(), "exited with code " + exitCode);
+        }
+    }
+
     /** The lab's clock: milliseconds since the lab began. Danger: many keep its times, so it never jumps. */
     double now() {
         return (System.nanoTime() - began) / 1e6;
@@ -315,7 +331,9 @@
                 sent = datagrams.sent();
                 bytes = datagrams.bytes();
             }
+            double stepsBegan = now();
             steps.doDue();
+            holdUps.recordPause("the steps", stepsBegan, now());
             if (load() - told >= SECOND) {
                 told += SECOND;
                 look();
@@ -348,6 +366,8 @@
             TimeUnit.MICROSECONDS.sleep(500);
         }
         audit.close(now());
+        holdUps.close();
+        audit.explainBreaks(holdUps);
         if (duties != null) {
             figures.putAll(duties.close(MigrationAudit.read(folder, wall), clients.ends(), audit, loadAt));
         }
@@ -383,6 +403,7 @@
                 fleet.members.stream().filter(Fleet.DispatcherProcess::crashed).count());
         figures.put("rules_broken", (double) audit.breaks().size());
         figures.put("generator_late_p99", (double) lateness.getValueAtPercentile(99));
+        figures.put("longest_hold_up", holdUps.longestOwnMillis());
         figures.put("limited_by_machine", lateness.getValueAtPercentile(99) > LIMIT_LATE ? 1.0 : 0.0);
         return figures;
     }
--- /dev/null
+++ b/src/main/java/nettlewick/fleettest/Soak.java
@@ -0,0 +1,56 @@
+package nettlewick.fleettest;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+
+/** Plays soaks of rolling restarts, seed by seed, and tells a verdict for each. */
+public final class Soak {
+    private static final int MAX_BREAKS_SHOWN = 12;
+
+    private Soak() {}
+
+    /**
+     * Plays one soak for each seed.
+     *
+     * @param from   the first seed
+     * @param folder gets a folder for each seed that broke a rule, with the logs of all processes
+     * @param out    gets the table of what was drawn, the verdict, and the broken rules
+     * @return the seeds that broke a rule
+     */
+    public static List<Long> run(long from, int seeds, Path folder, Consumer<String> out) throws Exception {
+        List<Long> broken = new ArrayList<>();
+        for (long seed = from; seed < from + seeds; seed++) {
+            if (!run(seed, Files.createDirectories(folder.resolve("seed-" + seed)), out)) {
+                broken.add(seed);
+            }
+        }
+        out.accept(seeds + " seeds from " + from + ", broken: " + broken);
+        return broken;
+    }
+
+    private static boolean run(long seed, Path folder, Consumer<String> out) throws Exception {
+        SoakPlan plan = SoakPlan.draw(seed);
+        out.accept("seed " + seed + "\n" + plan.table());
+        try (SoakRun run = new SoakRun(plan, folder)) {
+            SoakRun.Verdict verdict = run.play();
+            out.accept("seed " + seed + ": " + verdict.text());
+            verdict.breaks().stream().limit(MAX_BREAKS_SHOWN).forEach(b -> out.accept("  " + b));
+            if (verdict.breaks().isEmpty()) {
+                deleteQuietly(folder);
+            }
+            return verdict.breaks().isEmpty();
+        }
+    }
+
+    private static void deleteQuietly(Path folder) {
+        try {
+            SoakRun.delete(folder);
+        } catch (IOException e) {
+            // Processes that are still ending write there; the next run uses a folder of its own.
+        }
+    }
+}
--- a/src/main/java/nettlewick/stubs/EndpointServer.java
+++ b/src/main/java/nettlewick/stubs/EndpointServer.java
@@ -22,6 +22,9 @@
         /** An attempt has come whole. */
         void arrived(String id, EndpointModel runner, EndpointModel.Taken how, double now);
 
+        /** An attempt has come whole, with the seconds that it was told; {@code how}: null where it is swallowed. */
+        default void told(String id, EndpointModel runner, EndpointModel.Taken how, double seconds, double now) {}
+
         /** A job begins to run. */
         void ran(String id, EndpointModel runner, double now);
 
@@ -116,14 +119,21 @@
     private void serve(HttpServerRequest request) {
         double now = clock.getAsDouble();
         request.exceptionHandler(e -> {});
-        if (now < hungUntil) {
-            return;
-        }
+        boolean isHung = now < hungUntil;
         if (request.method() == HttpMethod.GET) {
+            if (isHung) {
+                return;
+            }
             request.response().end(report(now));
             return;
         }
-        request.body().onSuccess(body -> take(request, Double.parseDouble(body.toString())));
+        request.body().onSuccess(body -> {
+            if (isHung) {
+                tell(request, null);
+            } else {
+                take(request, Double.parseDouble(body.toString()));
+            }
+        });
     }
 
     private String report(double now) {
@@ -146,6 +156,7 @@
         HttpServerResponse response = request.response();
         response.exceptionHandler(e -> {});
         if (now < hungUntil || !model.up()) {
+            tell(request, null);
             return;
         }
         List<EndpointModel.Begun> begun = new ArrayList<>();
@@ -154,6 +165,7 @@
         taken.put(own, new Taken(response));
         EndpointModel.Taken how = model.offer(own, work, now, begun);
         watch.arrived(id, model, how, now);
+        tell(request, how);
         if (model.fallen() && !fell) {
             fell = true;
             watch.fell(model, now);
@@ -170,6 +182,16 @@
         begun.forEach(this::begin);
     }
 
+    private void tell(HttpServerRequest request, EndpointModel.Taken how) {
+        String deadline = request.getHeader("X-Deadline");
+        watch.told(
+                request.getHeader("X-Request-Id"),
+                model,
+                how,
+                deadline == null ? Double.NaN : Double.parseDouble(deadline),
+                clock.getAsDouble());
+    }
+
     private static String plain(String own) {
         return own.substring(0, own.lastIndexOf('@'));
     }
