Fleet test: a process whose start is under way at SIGTERM is killed with the others

Cause: Fleet.start made a process known by an assignment after ProcessBuilder.start had returned, and the shutdown hook killed what was known at one instant. A process exists from the first system call of its start; the call returned 9 to 30 ms later on a busy machine (1 to 4 ms on an idle one). A hook that ran in between saw none, the JVM halted, and the child went on without it.

Evidence (trials on scratch copies, SIGTERM when the third of three children is seen): - untouched code beside 24 busy processes (load 21), with trace lines: 7 of 30 plays left a process. In each of the 7 the hook's line for it is "no process", and its start had begun 11 to 27 ms before; in 4 the start returned up to 8 ms after the hook had ended, in 3 the JVM had halted by then. What was left was always the youngest, alive (state S) as `serve`, its parent was process 1. - untouched code on an idle machine: 0 of 30; with 300 ms put in between the start and the assignment 10 of 10; with 300 ms after the assignment 0 of 10. Ruled out: a kill that was refused (no process that the hook knew was left), a hook that did not run (it ended in each play), a process that was dead but not reaped, or that was left as jspawnhelper (state and command line of each).

Change: ChildProcessRegistry starts, registers and kills under one lock, so that the hook waits for a start under way and kills its process. It takes the hook and the wait for exits from Fleet.

Why it works: a process is either registered before the kill, or its start begins after it.

--- a/src/main/java/nettlewick/fleettest/Fleet.java
+++ b/src/main/java/nettlewick/fleettest/Fleet.java
@@ -10,7 +10,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.TimeUnit;
 import java.util.function.IntFunction;
 import java.util.function.IntToLongFunction;
 import java.util.stream.Stream;
@@ -19,7 +18,7 @@
 
 /**
  * The dispatcher processes: each is a {@code serve} of the built jar with its own address, configuration and log.
- * They are ended by their process handles, also when the fleet test is interrupted.
+ * They are killed when the fleet is closed, also when the fleet test is interrupted.
  */
 final class Fleet implements AutoCloseable {
     /** The address prefix in which each process has its own address. */
@@ -97,7 +96,7 @@
     private final IntFunction<String> settingsText;
     private final IntToLongFunction clockAheadMillis;
     final List<DispatcherProcess> dispatchers = new ArrayList<>();
-    private final Thread shutdownHook = new Thread(this::killAll, "lab-end");
+    private final ChildProcessRegistry processes;
 
     /**
      * @param config the platform's configuration of a process, read whenever that starts
@@ -133,7 +132,7 @@
                     new InetSocketAddress(own, adminPort),
                     new InetSocketAddress(own, leasePort)));
         }
-        Runtime.getRuntime().addShutdownHook(shutdownHook);
+        processes = new ChildProcessRegistry();
     }
 
     /**
@@ -199,7 +198,7 @@
         dispatcher.ready = false;
         dispatcher.paused = false;
         dispatcher.endedByTest = false;
-        Process started = builder.start();
+        Process started = processes.start(builder);
         dispatcher.process = started;
         started.onExit().thenAccept(ended -> listener.exited(number, ended.exitValue()));
     }
@@ -275,32 +274,10 @@
         }
     }
 
-    private void killAll() {
-        for (DispatcherProcess dispatcher : dispatchers) {
-            Process process = dispatcher.process;
-            if (process != null) {
-                process.destroyForcibly();
-            }
-        }
-    }
-
+    /** Kills all processes and waits until they have exited. */
     @Override
     public void close() {
-        killAll();
-        for (DispatcherProcess dispatcher : dispatchers) {
-            try {
-                if (dispatcher.process != null) {
-                    dispatcher.process.waitFor(10, TimeUnit.SECONDS);
-                }
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-        }
-        try {
-            Runtime.getRuntime().removeShutdownHook(shutdownHook);
-        } catch (IllegalStateException e) {
-            // The JVM is shutting down and the hook is running already.
-        }
+        processes.close();
     }
 
     /** Returns the platform's settings of a dispatcher, without its addresses. */
