Fleet test: no process is started once the shutdown hook has killed the others

Cause: while the JVM shuts down, its other threads go on. The hook killed what there was and told nobody, so the thread that starts the fleet started the next process before the JVM halted.

Change: the registry refuses each start after the kill, under the same lock, with an IOException, which ends the run as a failed start does.

Why it works: with one lock and one flag a start either comes first and is killed, or comes later and starts nothing.

--- a/src/main/java/nettlewick/fleettest/ChildProcessRegistry.java
+++ b/src/main/java/nettlewick/fleettest/ChildProcessRegistry.java
@@ -7,7 +7,8 @@
 
 /**
  * Starts child processes and kills all of them when it is closed or the JVM shuts down. Starting and killing exclude
- * each other, so a process whose start is under way at that moment is killed as well. Safe for any thread.
+ * each other, so a process whose start is under way at that moment is killed as well, and none is started afterwards:
+ * other threads go on while the JVM shuts down. Safe for any thread.
  */
 final class ChildProcessRegistry implements AutoCloseable {
     /** Starts one process. */
@@ -22,6 +23,7 @@
     /** All processes that were started and may be alive. */
     private final List<Process> processes = new ArrayList<>();
 
+    private boolean closed;
     private final Thread shutdownHook = new Thread(this::killAll, "child-process-shutdown");
 
     ChildProcessRegistry() {
@@ -33,8 +35,15 @@
         Runtime.getRuntime().addShutdownHook(shutdownHook);
     }
 
-    /** Starts a process and registers it before anything can be killed. */
+    /**
+     * Starts a process and registers it before anything can be killed.
+     *
+     * @throws IOException if the process cannot be started or everything has been killed
+     */
     synchronized Process start(ProcessBuilder builder) throws IOException {
+        if (closed) {
+            throw new IOException("no process is started after the others were killed");
+        }
         processes.removeIf(process -> !process.isAlive());
         Process process = launcher.launch(builder);
         processes.add(process);
@@ -42,6 +51,7 @@
     }
 
     private synchronized List<Process> killAll() {
+        closed = true;
         processes.forEach(Process::destroyForcibly);
         return List.copyOf(processes);
     }
--- a/src/test/java/nettlewick/fleettest/ChildProcessRegistryTest.java
+++ b/src/test/java/nettlewick/fleettest/ChildProcessRegistryTest.java
@@ -1,6 +1,7 @@
 package nettlewick.fleettest;
 
 import static org.awaitility.Awaitility.await;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -52,6 +53,15 @@
                         Set.of(Thread.State.BLOCKED, Thread.State.TERMINATED).contains(closer.getState()));
     }
 
+    /** Other threads go on while the JVM shuts down, so they may still start processes. */
+    @Test
+    void noProcessIsStartedAfterTheOthersWereKilled() {
+        registry = new ChildProcessRegistry(builder -> launched = builder.start());
+        registry.close();
+        assertThrows(IOException.class, () -> registry.start(longRunningCommand()));
+        assertNull(launched, "a process was started");
+    }
+
     @Test
     void closingKillsEveryProcess() throws Exception {
         registry = new ChildProcessRegistry();
