Fleet test: the platform's settings of a dispatcher are built in a class of their own

Fleet starts and signals processes; 80 lines of it built a settings block from a scenario, for ScenarioRun and SoakConfig. No behaviour changes.

Fleet has 281 lines, 364 before.

--- a/src/main/java/nettlewick/fleettest/Fleet.java
+++ b/src/main/java/nettlewick/fleettest/Fleet.java
@@ -2,18 +2,17 @@
 
 import com.google.gson.Gson;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.function.IntFunction;
 import java.util.function.IntToLongFunction;
 import java.util.stream.Stream;
-import nettlewick.stubs.EndpointServer;
 import nettlewick.stubs.ReservedPorts;
 
 /**
@@ -269,7 +268,7 @@
                             .mapToDouble(l -> Double.parseDouble(l.replaceAll("\\D+", "")))
                             .sum()
                     / 1024;
-        } catch (IOException | java.io.UncheckedIOException e) {
+        } catch (IOException | UncheckedIOException e) {
             return 0;
         }
     }
@@ -279,86 +278,4 @@
     public void close() {
         processes.close();
     }
-
-    /** Returns the platform's settings of a dispatcher, without its addresses. */
-    static Map<String, Object> platformSettings(Scenario scenario, int rank) {
-        Scenario.FleetSettings fleet = scenario.fleet();
-        List<Map<String, Object>> classes = new ArrayList<>();
-        for (Scenario.RequestClass requestClass : scenario.load().classes()) {
-            classes.add(Map.of(
-                    "name",
-                    requestClass.name(),
-                    "repeat",
-                    requestClass.idempotency(),
-                    "aim",
-                    nanos(requestClass.latencyObjectiveMillis()),
-                    "deadline",
-                    nanos(requestClass.deadlineMillis()),
-                    "worth",
-                    1,
-                    "window",
-                    nanos(scenario.load().dedupWindowMillis()),
-                    "dedup_scope",
-                    "zone"));
-        }
-        Map<String, Object> settings = new LinkedHashMap<>();
-        settings.put("rank", rank);
-        settings.put("fleet_size", fleet.dispatchers());
-        settings.put("zone", fleet.zone(rank));
-        settings.put("zones", fleet.zones());
-        settings.put("models", List.of("std"));
-        settings.put("membership_mode", fleet.polls() ? "on_request" : "pushed");
-        settings.put("classes", classes);
-        settings.put(
-                "tenants",
-                scenario.load().tenants().stream()
-                        .map(m -> Map.of("name", m.name(), "fraction", m.quota()))
-                        .toList());
-        settings.put("report", Map.of("source", "on_probe", "names", List.of("depth", "concurrent", "x0", "x1")));
-        settings.put(
-                "family_info", Map.of("progress", nanos(EndpointServer.PROGRESS_INTERVAL_MILLIS), "tells_start", true));
-        settings.put(
-                "ceilings",
-                Map.of(
-                        "attempts_cap",
-                        ScenarioRun.MAX_ATTEMPTS,
-                        "cancel",
-                        fleet.endpoint().cancelsOnDisconnect(),
-                        "peers",
-                        fleet.gossips(),
-                        "probes",
-                        true,
-                        "retry_after",
-                        true,
-                        "second_copies",
-                        false,
-                        "max_retry_after",
-                        nanos(2000),
-                        "connect_timeout",
-                        nanos(200),
-                        "conn_idle",
-                        nanos(5000)));
-        settings.put(
-                "rules",
-                Map.of(
-                        "cold",
-                        nanos(fleet.endpoint().slowStartMillis()),
-                        "cold_share",
-                        fleet.endpoint().initialSpeedFraction(),
-                        "overload_factor",
-                        fleet.endpoint().overloadFactor(),
-                        "drain_grace",
-                        nanos(fleet.drainGraceMillis()),
-                        "fall",
-                        nanos(fleet.endpoint().overloadMillis()),
-                        "answer_slack",
-                        nanos(20),
-                        "ask_within",
-                        nanos(10_000)));
-        return settings;
-    }
-
-    private static long nanos(double millis) {
-        return (long) (millis * 1e6);
-    }
 }
--- a/src/main/java/nettlewick/fleettest/ScenarioRun.java
+++ b/src/main/java/nettlewick/fleettest/ScenarioRun.java
@@ -244,7 +244,7 @@
         if (process.incarnationCount > 1 && fleetSettings.keepsEndpointList()) {
             config.put("known", new Gson().fromJson(new Gson().toJson(discovery.lastSentList(number)), Map.class));
         }
-        config.put("settings", Fleet.platformSettings(scenario, number));
+        config.put("settings", PlatformSettings.of(scenario, number));
         return config;
     }
 
--- a/src/main/java/nettlewick/fleettest/SoakConfig.java
+++ b/src/main/java/nettlewick/fleettest/SoakConfig.java
@@ -75,7 +75,7 @@
         if (knownEndpoints != null) {
             config.put("known", new Gson().fromJson(new Gson().toJson(knownEndpoints), Map.class));
         }
-        config.put("settings", Fleet.platformSettings(scenario, dispatcher.number));
+        config.put("settings", PlatformSettings.of(scenario, dispatcher.number));
         return config;
     }
 }
