--- a/src/main/java/nettlewick/fleettest/ScenarioRun.java
+++ b/src/main/java/nettlewick/fleettest/ScenarioRun.java
@@ -4,10 +4,6 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import io.vertx.core.file.FileSystemOptions;
-import io.vertx.core.http.HttpClient;
-import io.vertx.core.http.HttpClientOptions;
-import io.vertx.core.http.HttpMethod;
-import io.vertx.core.http.PoolOptions;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
@@ -16,7 +12,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
-import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.stream.IntStream;
@@ -31,21 +26,21 @@
  * figures.
  */
 final class ScenarioRun implements AutoCloseable, EndpointServer.Listener {
-    private static final String ENDPOINT_NET = Fleet.addressPrefix(2);
     /** Cap on the attempts of one request. */
     static final int MAX_ATTEMPTS = 6;
-    /** Up to this many pairs of dispatcher and endpoint, each pair has its own relay listener. */
-    private static final int MAX_SEPARATE_RELAYS = 4096;
 
     private static final int MAX_ENDPOINTS = 20_000;
-    private static final int START_TIMEOUT_SECONDS = 300;
     private static final double MAX_LATENESS_MILLIS = 20;
+    /** Of how many processes the memory is read. */
+    private static final int MAX_MEMORY_SAMPLES = 8;
+
+    private static final int MAX_RECORDED_LATENESS_MILLIS = 60_000;
+    private static final long LOOP_SLEEP_MICROS = 500;
     private static final double SECOND_MILLIS = 1000;
 
     private final Scenario scenario;
     private final Scenario.FleetSettings fleetSettings;
     final Vertx vertx;
-    private final HttpClient healthClient;
     private final long beganNanos = System.nanoTime();
     /** When the measured load begins, by the test's clock. */
     private volatile double loadBeginsAt = Double.POSITIVE_INFINITY;
@@ -53,13 +48,12 @@
     final LinkFaults linkFaults;
     final InvariantChecker checker;
     private final LoadBalanceStats loadStats;
-    final List<EndpointModel> endpointModels = new CopyOnWriteArrayList<>();
-    final List<EndpointServer> endpoints = new ArrayList<>();
+    final StubEndpoints endpoints;
     private final TcpRelay tcpRelay;
-    private final Map<String, InetSocketAddress> endpointAddresses = new java.util.concurrent.ConcurrentHashMap<>();
     final DiscoveryServer discovery;
     private final Map<Integer, InetSocketAddress> discoveryAddresses = new LinkedHashMap<>();
     final Fleet fleet;
+    private final FleetReadiness readiness;
     final DatagramRelay datagramRelay;
     private final List<String> peerAddresses;
     final LoadGenerator loadGenerator;
@@ -71,14 +65,16 @@
     /** Unix time in milliseconds at which the test's clock began. */
     final double beganAtUnixMillis = System.currentTimeMillis();
 
-    private final Map<EndpointServer, Integer> endpointNumbers = new java.util.concurrent.ConcurrentHashMap<>();
     /** Set by a test to end the run early. */
     volatile boolean stopRequested;
 
     private final StallMonitor stallMonitor;
-    private final Histogram generatorLateness = new Histogram(60_000, 3);
+    private final Histogram generatorLateness = new Histogram(MAX_RECORDED_LATENESS_MILLIS, 3);
     private final Map<String, Double> figures = new LinkedHashMap<>();
     private final List<Results.Second> secondSummaries = new ArrayList<>();
+    private int submittedCount;
+    /** Since the measured load began; null before. */
+    private FleetCost loadCost;
 
     ScenarioRun(Scenario scenario, Path folder) throws Exception {
         this.scenario = scenario;
@@ -87,22 +83,20 @@
                 .setEventLoopPoolSize(Math.max(4, Runtime.getRuntime().availableProcessors() / 2))
                 .setFileSystemOptions(
                         new FileSystemOptions().setFileCachingEnabled(false).setClassPathResolvingEnabled(false)));
-        healthClient = vertx.createHttpClient(
-                new HttpClientOptions().setConnectTimeout(500).setKeepAlive(false),
-                new PoolOptions().setHttp1MaxSize(4));
         linkFaults = new LinkFaults(scenario.links(), fleetSettings.seed());
         checker = new InvariantChecker(scenario, MAX_ATTEMPTS);
-        loadStats = new LoadBalanceStats(endpointModels, scenario.load().meanWorkMillis());
         tcpRelay = scenario.links().isTcpRelayed() ? new TcpRelay(vertx, linkFaults, this::now) : null;
+        endpoints = new StubEndpoints(fleetSettings, vertx, tcpRelay, this, this::now);
+        loadStats = new LoadBalanceStats(endpoints.models(), scenario.load().meanWorkMillis());
         discovery = new DiscoveryServer(
                 vertx,
                 fleetSettings.dispatchers(),
                 fleetSettings.discoveryCallMillis(),
                 checker::drainSent,
                 this::now,
-                (dispatcher, r) -> endpointAddresses.get(addressKey(dispatcher, endpointNumbers.get(r))));
+                endpoints::address);
         for (int r = 0; r < fleetSettings.endpoints(); r++) {
-            discovery.announceHealth(addEndpoint(Double.NEGATIVE_INFINITY), "Ready");
+            discovery.announceHealth(endpoints.add(Double.NEGATIVE_INFINITY), "Ready");
         }
         this.folder = folder;
         tenantPools = scenario.tenantPools() == null ? null : new TenantPoolEnvironment(this, scenario, folder);
@@ -117,6 +111,7 @@
                                 .getOrDefault("n" + dispatcher, 0.0)
                                 .longValue(),
                 new ProcessEvents());
+        readiness = new FleetReadiness(fleet, vertx);
         stallMonitor = new StallMonitor(this::now, fleet);
         for (int dispatcher = 0; dispatcher < fleetSettings.dispatchers(); dispatcher++) {
             InetSocketAddress direct = discovery.listen(dispatcher);
@@ -166,10 +161,6 @@
         return address.getAddress().getHostAddress() + ":" + address.getPort();
     }
 
-    int endpointParty(int endpoint) {
-        return fleetSettings.dispatchers() + endpoint;
-    }
-
     int discoveryParty() {
         return fleetSettings.dispatchers() + MAX_ENDPOINTS;
     }
@@ -188,44 +179,6 @@
         return DispatcherLogs.read(folder, beganAtUnixMillis, "duty-held").leaseHolder(tenant);
     }
 
-    /** Returns the first dispatcher of the group that shares a relay listener. */
-    private int relayGroup(int dispatcher) {
-        return fleetSettings.dispatchers() * fleetSettings.endpoints() <= MAX_SEPARATE_RELAYS
-                ? dispatcher
-                : dispatcher % fleetSettings.zones().size();
-    }
-
-    private String addressKey(int dispatcher, int endpoint) {
-        return (tcpRelay == null ? "" : relayGroup(dispatcher) + " ") + endpoint;
-    }
-
-    EndpointServer addEndpoint(double bornAt) throws Exception {
-        return addEndpoint(bornAt, "s" + endpoints.size());
-    }
-
-    EndpointServer addEndpoint(double bornAt, String name) throws Exception {
-        int number = endpoints.size();
-        EndpointModel model = new EndpointModel(
-                name, fleetSettings.zone(number), fleetSettings.speed(number), fleetSettings.endpoint(), bornAt);
-        EndpointServer server =
-                new EndpointServer(Fleet.address(ENDPOINT_NET, number).getHostAddress(), model, vertx, this, this::now);
-        InetSocketAddress direct = server.listen();
-        for (int dispatcher = 0; dispatcher < fleetSettings.dispatchers(); dispatcher++) {
-            String key = addressKey(dispatcher, number);
-            if (!endpointAddresses.containsKey(key)) {
-                endpointAddresses.put(
-                        key,
-                        tcpRelay == null
-                                ? direct
-                                : tcpRelay.open(relayGroup(dispatcher), endpointParty(number), direct));
-            }
-        }
-        endpointNumbers.put(server, number);
-        endpoints.add(server);
-        endpointModels.add(model);
-        return server;
-    }
-
     private Map<String, Object> dispatcherConfig(int number) {
         Fleet.DispatcherProcess process = fleet.dispatchers.get(number);
         Map<String, Object> config = new LinkedHashMap<>();
@@ -248,35 +201,14 @@
         return config;
     }
 
-    /** Starts all processes, a few at a time, and waits until each is ready. */
+    /** Starts all processes, waits until each is ready and measures what that cost. */
     Map<String, Double> startFleet(Consumer<String> progress) throws Exception {
         double beganAt = now();
-        int next = 0;
-        int maxStarting = Runtime.getRuntime().availableProcessors() + 2;
-        while (fleet.dispatchers.stream().anyMatch(process -> !process.ready)) {
-            long starting = fleet.dispatchers.stream()
-                    .filter(process -> process.incarnationCount > 0 && !process.ready)
-                    .count();
-            for (; next < fleet.dispatchers.size() && starting < maxStarting; next++, starting++) {
-                fleet.start(next);
-            }
-            checkHealth();
-            for (Fleet.DispatcherProcess process : fleet.dispatchers.subList(0, next)) {
-                if (!process.alive()) {
-                    throw new IOException("n" + process.number + " exited before it was ready, with code "
-                            + process.process.exitValue() + "; see its log in the result folder");
-                }
-            }
-            if (now() - beganAt > START_TIMEOUT_SECONDS * SECOND_MILLIS) {
-                throw new IOException("the fleet was not ready after " + START_TIMEOUT_SECONDS + " s");
-            }
-            TimeUnit.MILLISECONDS.sleep(50);
-            progress.accept(countReady() + " of " + fleet.dispatchers.size() + " ready");
-        }
+        readiness.startAll(progress);
         figures.put("processes", (double) fleet.dispatchers.size());
         figures.put("ready_s", (now() - beganAt) / SECOND_MILLIS);
         figures.put("start_cpu_s", fleet.cpuMillis() / SECOND_MILLIS / fleet.dispatchers.size());
-        int sampleSize = Math.min(8, fleet.dispatchers.size());
+        int sampleSize = Math.min(MAX_MEMORY_SAMPLES, fleet.dispatchers.size());
         figures.put(
                 "megabytes",
                 IntStream.range(0, sampleSize).mapToDouble(fleet::megabytes).sum() / sampleSize);
@@ -286,121 +218,33 @@
     /** Measures the cost of the fleet without any requests, over some milliseconds. */
     void measureIdle(double millis) throws InterruptedException {
         double beganAt = now();
-        double cpuBefore = fleet.cpuMillis();
-        long sentBefore = datagramRelay.sent();
+        FleetCost cost = new FleetCost(fleet, datagramRelay);
         TimeUnit.MILLISECONDS.sleep((long) millis);
         double elapsedMillis = now() - beganAt;
-        figures.put(
-                "idle_cores_per_100", (fleet.cpuMillis() - cpuBefore) / elapsedMillis / fleet.dispatchers.size() * 100);
-        figures.put(
-                "idle_datagrams_per_s",
-                (datagramRelay.sent() - sentBefore) / elapsedMillis * SECOND_MILLIS / fleet.dispatchers.size());
-    }
-
-    private long countReady() {
-        return fleet.dispatchers.stream().filter(process -> process.ready).count();
-    }
-
-    /** Sends a health check to each running process that is not known to be ready. */
-    private void checkHealth() {
-        for (Fleet.DispatcherProcess process : fleet.dispatchers) {
-            if (process.alive() && !process.ready && !process.paused) {
-                Process checkedProcess = process.process;
-                healthClient
-                        .request(
-                                HttpMethod.GET,
-                                process.listenAddress.getPort(),
-                                process.listenAddress.getHostString(),
-                                "/_health")
-                        .compose(r -> r.send())
-                        .onSuccess(r -> process.ready = r.statusCode() == 200 && process.process == checkedProcess);
-            }
-        }
+        figures.put("idle_cores_per_100", cost.cores(elapsedMillis) / fleet.dispatchers.size() * 100);
+        figures.put("idle_datagrams_per_s", cost.datagramsPerSecond(elapsedMillis));
     }
 
     /** Generates the load and executes the steps until every request has an outcome. */
     Map<String, Double> run(Consumer<String> progress) throws Exception {
         List<RequestTrace.PlannedRequest> trace = RequestTrace.draw(scenario);
-        loadBeginsAt = now() + scenario.load().warmUpMillis();
-        checker.measureFrom(loadBeginsAt);
-        loadGenerator.measureFrom(loadBeginsAt);
-        scenario.steps().forEach(s -> stepExecutor.schedule(loadBeginsAt + s.at(), s));
-        for (double at = 0; at < scenario.load().lengthMillis(); at += LoadBalanceStats.SAMPLE_INTERVAL_MILLIS) {
-            double sampledAt = at;
-            stepExecutor.schedule(loadBeginsAt + at, () -> loadStats.sample(sampledAt));
-        }
-        double cpuBefore = 0;
-        long sentBefore = 0;
-        long bytesBefore = 0;
-        boolean isMeasuring = false;
-        int next = 0;
+        scheduleAll();
         double reportedAt = -scenario.load().warmUpMillis();
-        double endsAt = scenario.load().lengthMillis();
-        double longestDeadline = scenario.load().classes().stream()
-                .mapToDouble(Scenario.RequestClass::deadlineMillis)
-                .max()
-                .orElse(0);
-        while (!stopRequested
-                && (millisSinceLoadBegan() < endsAt
-                        || !stepExecutor.isDone()
-                        || loadGenerator.openRequests.get() > 0
-                                && millisSinceLoadBegan()
-                                        < endsAt + longestDeadline + 2 * InvariantChecker.ANSWER_TOLERANCE_MILLIS)) {
-            while (next < trace.size() && trace.get(next).at() <= millisSinceLoadBegan()) {
-                RequestTrace.PlannedRequest request = trace.get(next++);
-                if (request.at() >= 0) {
-                    generatorLateness.recordValue((long) Math.min(60_000, millisSinceLoadBegan() - request.at()));
-                }
-                loadGenerator.submit(request, loadBeginsAt + request.at());
-            }
-            if (!isMeasuring && millisSinceLoadBegan() >= 0) {
-                isMeasuring = true;
-                cpuBefore = fleet.cpuMillis();
-                sentBefore = datagramRelay.sent();
-                bytesBefore = datagramRelay.bytes();
+        while (!stopRequested && !isDone()) {
+            submitDue(trace);
+            if (loadCost == null && millisSinceLoadBegan() >= 0) {
+                loadCost = new FleetCost(fleet, datagramRelay);
             }
             double stepsBegan = now();
             stepExecutor.runDue();
             stallMonitor.recordStall("the execution of steps", stepsBegan, now());
             if (millisSinceLoadBegan() - reportedAt >= SECOND_MILLIS) {
                 reportedAt += SECOND_MILLIS;
-                checkHealth();
-                Map<String, Integer> outcomes = loadGenerator.outcomes();
-                secondSummaries.add(new Results.Second(
-                        millisSinceLoadBegan(),
-                        (int) countReady(),
-                        next,
-                        outcomes.getOrDefault("in_time", 0),
-                        outcomes.getOrDefault("late", 0),
-                        loadGenerator.rejections.get(),
-                        loadGenerator.openRequests.get()));
-                progress.accept(String.format(
-                        "%.0f s: %d ready, %d sent, %d served, %d rejections, %d open, " + "%d violations",
-                        millisSinceLoadBegan() / SECOND_MILLIS,
-                        countReady(),
-                        next,
-                        loadGenerator.served.get(),
-                        loadGenerator.rejections.get(),
-                        loadGenerator.openRequests.get(),
-                        checker.violations().size()));
-                double elapsedMillis = millisSinceLoadBegan();
-                if (isMeasuring && elapsedMillis < endsAt) {
-                    figures.put("cores", (fleet.cpuMillis() - cpuBefore) / elapsedMillis);
-                    figures.put(
-                            "datagrams_per_s",
-                            (datagramRelay.sent() - sentBefore)
-                                    / elapsedMillis
-                                    * SECOND_MILLIS
-                                    / fleet.dispatchers.size());
-                    figures.put(
-                            "datagram_bytes_per_s",
-                            (datagramRelay.bytes() - bytesBefore)
-                                    / elapsedMillis
-                                    * SECOND_MILLIS
-                                    / fleet.dispatchers.size());
-                }
+                readiness.checkHealth();
+                summarizeSecond(progress);
+                recordLoadCost();
             }
-            TimeUnit.MICROSECONDS.sleep(500);
+            TimeUnit.MICROSECONDS.sleep(LOOP_SLEEP_MICROS);
         }
         checker.checkUnanswered(now());
         stallMonitor.close();
@@ -409,44 +253,81 @@
             figures.putAll(tenantPools.close(
                     DispatcherLogs.read(folder, beganAtUnixMillis), loadGenerator.outcomes(), checker, loadBeginsAt));
         }
-        return collectFigures(
-                (int) trace.stream().filter(request -> request.at() >= 0).count());
+        long requestCount = trace.stream().filter(request -> request.at() >= 0).count();
+        figures.putAll(new OutcomeFigures(this, scenario.load()).collect(requestCount));
+        double lateness = generatorLateness.getValueAtPercentile(99);
+        figures.put("generator_late_p99", lateness);
+        figures.put("longest_hold_up", stallMonitor.longestOwnStallMillis());
+        figures.put("limited_by_machine", lateness > MAX_LATENESS_MILLIS ? 1.0 : 0.0);
+        return figures;
     }
 
-    private Map<String, Double> collectFigures(int requestCount) {
-        figures.put("jobs", (double) requestCount);
-        for (String outcome : List.of("in_time", "late", "unserved", "failed", "broken_off", "unanswered")) {
-            figures.put(outcome, (double) loadGenerator.outcomes().getOrDefault(outcome, 0));
+    /** Sets the beginning of the measured load and schedules the steps and samples from there. */
+    private void scheduleAll() {
+        loadBeginsAt = now() + scenario.load().warmUpMillis();
+        checker.measureFrom(loadBeginsAt);
+        loadGenerator.measureFrom(loadBeginsAt);
+        scenario.steps().forEach(s -> stepExecutor.schedule(loadBeginsAt + s.at(), s));
+        for (double at = 0; at < scenario.load().lengthMillis(); at += LoadBalanceStats.SAMPLE_INTERVAL_MILLIS) {
+            double sampledAt = at;
+            stepExecutor.schedule(loadBeginsAt + at, () -> loadStats.sample(sampledAt));
         }
-        for (Scenario.Tenant tenant : scenario.load().tenants()) {
-            if (scenario.load().tenants().size() > 1) {
-                figures.put(
-                        "asked_" + tenant.name(),
-                        loadGenerator.outcomes().entrySet().stream()
-                                .filter(e -> e.getKey().endsWith(" " + tenant.name()))
-                                .mapToDouble(Map.Entry::getValue)
-                                .sum());
-                figures.put("in_time_" + tenant.name(), (double)
-                        loadGenerator.outcomes().getOrDefault("in_time " + tenant.name(), 0));
+    }
+
+    /** Returns whether load and steps are over and every request has its answer, or is past any time for it. */
+    private boolean isDone() {
+        double endsAt = scenario.load().lengthMillis();
+        if (millisSinceLoadBegan() < endsAt || !stepExecutor.isDone()) {
+            return false;
+        }
+        double longestDeadline = scenario.load().classes().stream()
+                .mapToDouble(Scenario.RequestClass::deadlineMillis)
+                .max()
+                .orElse(0);
+        return loadGenerator.openRequests.get() <= 0
+                || millisSinceLoadBegan() >= endsAt + longestDeadline + 2 * InvariantChecker.ANSWER_TOLERANCE_MILLIS;
+    }
+
+    private void submitDue(List<RequestTrace.PlannedRequest> trace) {
+        while (submittedCount < trace.size() && trace.get(submittedCount).at() <= millisSinceLoadBegan()) {
+            RequestTrace.PlannedRequest request = trace.get(submittedCount);
+            submittedCount++;
+            if (request.at() >= 0) {
+                double lateness = Math.min(MAX_RECORDED_LATENESS_MILLIS, millisSinceLoadBegan() - request.at());
+                generatorLateness.recordValue((long) lateness);
             }
+            loadGenerator.submit(request, loadBeginsAt + request.at());
+        }
+    }
+
+    private void summarizeSecond(Consumer<String> progress) {
+        Map<String, Integer> outcomes = loadGenerator.outcomes();
+        secondSummaries.add(new Results.Second(
+                millisSinceLoadBegan(),
+                (int) readiness.countReady(),
+                submittedCount,
+                outcomes.getOrDefault("in_time", 0),
+                outcomes.getOrDefault("late", 0),
+                loadGenerator.rejections.get(),
+                loadGenerator.openRequests.get()));
+        progress.accept(String.format(
+                "%.0f s: %d ready, %d sent, %d served, %d rejections, %d open, %d violations",
+                millisSinceLoadBegan() / SECOND_MILLIS,
+                readiness.countReady(),
+                submittedCount,
+                loadGenerator.served.get(),
+                loadGenerator.rejections.get(),
+                loadGenerator.openRequests.get(),
+                checker.violations().size()));
+    }
+
+    private void recordLoadCost() {
+        double elapsedMillis = millisSinceLoadBegan();
+        if (loadCost != null && elapsedMillis < scenario.load().lengthMillis()) {
+            figures.put("cores", loadCost.cores(elapsedMillis));
+            figures.put("datagrams_per_s", loadCost.datagramsPerSecond(elapsedMillis));
+            figures.put("datagram_bytes_per_s", loadCost.datagramBytesPerSecond(elapsedMillis));
         }
-        figures.put("refusals", (double) loadGenerator.rejections.get());
-        figures.put("attempts", (double) checker.count("attempts"));
-        figures.put("sent_to_full", checker.count("sent_to_full") / Math.max(1.0, checker.count("attempts")));
-        figures.put("run_again", (double) checker.count("run_again"));
-        figures.putAll(loadStats.figures());
-        figures.put("latency_p50", (double) loadGenerator.latency.getValueAtPercentile(50));
-        figures.put("latency_p99", (double) loadGenerator.latency.getValueAtPercentile(99));
-        figures.put("discovery_calls", (double) discovery.callCount.get());
-        figures.put("too_long", (double) datagramRelay.oversized());
-        figures.put("crashed", (double) fleet.dispatchers.stream()
-                .filter(Fleet.DispatcherProcess::crashed)
-                .count());
-        figures.put("rules_broken", (double) checker.violations().size());
-        figures.put("generator_late_p99", (double) generatorLateness.getValueAtPercentile(99));
-        figures.put("longest_hold_up", stallMonitor.longestOwnStallMillis());
-        figures.put("limited_by_machine", generatorLateness.getValueAtPercentile(99) > MAX_LATENESS_MILLIS ? 1.0 : 0.0);
-        return figures;
     }
 
     @Override
--- a/src/main/java/nettlewick/fleettest/StepExecutor.java
+++ b/src/main/java/nettlewick/fleettest/StepExecutor.java
@@ -121,7 +121,7 @@
     private List<Integer> endpoints(ScenarioTarget target) {
         return selectFraction(
                 target,
-                IntStream.range(0, run.endpoints.size())
+                IntStream.range(0, run.endpoints.models().size())
                         .filter(r -> target.number('s') == r
                                 || target.name().equals("runners")
                                 || target.name().equals("all")
@@ -141,7 +141,7 @@
     private BitSet parties(ScenarioTarget target) throws IOException {
         BitSet set = new BitSet();
         dispatchers(target).forEach(set::set);
-        endpoints(target).forEach(r -> set.set(run.endpointParty(r)));
+        endpoints(target).forEach(r -> set.set(run.endpoints.party(r)));
         if (target.name().equals("discovery")) {
             set.set(run.discoveryParty());
         }
@@ -165,24 +165,25 @@
             case "pause" -> pause(step, until);
             case "drain" -> {
                 for (int endpoint : endpoints(step.target())) {
-                    run.discovery.announceHealth(run.endpoints.get(endpoint), "Terminating");
-                    run.endpoints.get(endpoint).model.drain();
+                    run.discovery.announceHealth(run.endpoints.server(endpoint), "Terminating");
+                    run.endpoints.server(endpoint).model.drain();
                 }
             }
             case "add" -> {
                 List<EndpointServer> addedEndpoints = new ArrayList<>();
                 for (int i = 0; i < step.value(); i++) {
-                    addedEndpoints.add(run.addEndpoint(run.now()));
+                    addedEndpoints.add(run.endpoints.add(run.now()));
                 }
                 addedEndpoints.forEach(endpoint -> run.discovery.announceHealth(endpoint, "Ready"));
             }
-            case "hang" -> endpoints(step.target()).forEach(endpoint -> run.endpoints.get(endpoint).hungUntil = until);
+            case "hang" ->
+                endpoints(step.target()).forEach(endpoint -> run.endpoints.server(endpoint).hungUntil = until);
             case "empty" ->
-                endpoints(step.target()).forEach(endpoint -> run.endpoints.get(endpoint).reportsIdleUntil = until);
+                endpoints(step.target()).forEach(endpoint -> run.endpoints.server(endpoint).reportsIdleUntil = until);
             case "slow" -> {
                 for (int endpoint : endpoints(step.target())) {
-                    run.endpointModels.get(endpoint).setSlowdown(step.value());
-                    schedule(until, () -> run.endpointModels.get(endpoint).setSlowdown(1));
+                    run.endpoints.model(endpoint).setSlowdown(step.value());
+                    schedule(until, () -> run.endpoints.model(endpoint).setSlowdown(1));
                 }
             }
             case "cut", "mute" -> {
@@ -220,7 +221,7 @@
             run.fleet.kill(dispatcher);
             schedule(run.now() + fleetSettings.deathNoticeMillis(), () -> run.fleet.markDown(dispatcher));
         }
-        endpoints(target).forEach(r -> run.endpoints.get(r).kill());
+        endpoints(target).forEach(r -> run.endpoints.server(r).kill());
     }
 
     private void start(Scenario.Step step) throws IOException {
@@ -230,9 +231,9 @@
         }
         for (int endpoint : endpoints(step.target())) {
             schedule(run.now() + random.nextDouble() * spreadMillis, () -> {
-                run.checker.endpointRestarted(run.endpointModels.get(endpoint).name);
-                run.endpoints.get(endpoint).start();
-                run.discovery.announceHealth(run.endpoints.get(endpoint), "Ready");
+                run.checker.endpointRestarted(run.endpoints.model(endpoint).name);
+                run.endpoints.server(endpoint).start();
+                run.discovery.announceHealth(run.endpoints.server(endpoint), "Ready");
             });
         }
     }
--- a/src/main/java/nettlewick/fleettest/TenantPoolEnvironment.java
+++ b/src/main/java/nettlewick/fleettest/TenantPoolEnvironment.java
@@ -94,8 +94,8 @@
                 new ProviderServer.InstanceLauncher() {
                     @Override
                     public void start(ProviderModel.Instance instance) {
-                        run.stepExecutor.post(
-                                () -> addedEndpoints.put(instance.name(), run.addEndpoint(run.now(), instance.name())));
+                        run.stepExecutor.post(() ->
+                                addedEndpoints.put(instance.name(), run.endpoints.add(run.now(), instance.name())));
                         run.stepExecutor.post(
                                 () -> run.discovery.announceHealth(addedEndpoints.get(instance.name()), "Ready"));
                     }
@@ -162,7 +162,7 @@
                 checker,
                 fleetKills,
                 CHOICE_TO_ARRIVAL_MILLIS + scenario.links().delayMillis(),
-                name -> run.endpointModels.stream()
+                name -> run.endpoints.models().stream()
                         .anyMatch(endpoint -> endpoint.name.equals(name) && endpoint.acceptsRequests()));
         Map<String, Double> figures = new LinkedHashMap<>();
         figures.put("moves", (double) logs.count("pool-open"));
--- a/src/test/java/nettlewick/LayoutTest.java
+++ b/src/test/java/nettlewick/LayoutTest.java
@@ -25,8 +25,7 @@
             "ledger/Ledger.java",
             "ledger/Spool.java",
             "waiting/DependencyTracker.java",
-            "ledger/StatementCalculator.java",
-            "fleettest/ScenarioRun.java");
+            "ledger/StatementCalculator.java");
 
     private static final int MAX_LINES = 400;
 
