Event streams: a client that never reads is disconnected when its stream is forgotten

Callers saw: a client that stopped reading while events waited for it was never disconnected and kept one of max-readers; with enough of them new streams were answered 503.

Ruled out: a stream that is not forgotten (a GET of it answers 404 in the test), and the timeout for unread output, which starts with the end of the response, and this response has not ended.

Change: HttpFrontend.closeNow closes the socket at once, and subscribers are closed by it. It works because the close no longer waits for the client.

--- a/src/main/java/nettlewick/net/client/HttpFrontend.java
+++ b/src/main/java/nettlewick/net/client/HttpFrontend.java
@@ -121,6 +121,17 @@
         return client != null && client.isConnected();
     }
 
+    /**
+     * Closes the connection of a request at once. Vert.x closes a connection, or resets a response, only after everything
+     * written before has been sent; that never happens if the client does not read.
+     */
+    protected final void closeNow(HttpServerRequest request) {
+        ClientConnection client = connections.get(request.connection());
+        if (client != null) {
+            client.close();
+        }
+    }
+
     /** Called when a client connection has closed. */
     protected void connectionClosed(HttpConnection connection) {}
 
--- a/src/main/java/nettlewick/sse/EventStreamFrontend.java
+++ b/src/main/java/nettlewick/sse/EventStreamFrontend.java
@@ -163,12 +163,14 @@
         if (environment().serviceState().isDrainingOrStopping()) {
             response.putHeader("Connection", "close");
         }
-        subscribe(response, lastSeenId, stream);
+        subscribe(http, lastSeenId, stream);
         return true;
     }
 
-    private void subscribe(HttpServerResponse response, long lastSeenId, RequestStream stream) {
-        StreamSubscriber subscriber = new StreamSubscriber(response, lastSeenId, config.retryMillis());
+    private void subscribe(HttpServerRequest http, long lastSeenId, RequestStream stream) {
+        HttpServerResponse response = http.response();
+        StreamSubscriber subscriber =
+                new StreamSubscriber(response, lastSeenId, config.retryMillis(), () -> closeNow(http));
         subscriberCount++;
         // The client may disconnect before or after the final event is written, so both handlers may run.
         response.closeHandler(v -> onSubscriberLeft(stream, subscriber));
--- a/src/main/java/nettlewick/sse/StreamSubscriber.java
+++ b/src/main/java/nettlewick/sse/StreamSubscriber.java
@@ -14,15 +14,20 @@
 
     private final HttpServerResponse response;
     private final long lastSeenId;
+    private final Runnable connectionCloser;
     private final Promise<Void> finalEventWritten = Promise.promise();
     private StreamEvent pendingProgress;
     private StreamEvent pendingFinal;
     private boolean hasLeft;
 
-    /** @param lastSeenId the id of the last event that the client has seen; 0 for none */
-    StreamSubscriber(HttpServerResponse response, long lastSeenId, long retryMillis) {
+    /**
+     * @param lastSeenId       the id of the last event that the client has seen; 0 for none
+     * @param connectionCloser closes the connection at once, even if the client does not read
+     */
+    StreamSubscriber(HttpServerResponse response, long lastSeenId, long retryMillis, Runnable connectionCloser) {
         this.response = response;
         this.lastSeenId = lastSeenId;
+        this.connectionCloser = connectionCloser;
         response.setChunked(true).setWriteQueueMaxSize(WRITE_QUEUE_BYTES);
         response.putHeader("Content-Type", "text/event-stream").putHeader("Cache-Control", "no-store");
         response.exceptionHandler(e -> {});
@@ -83,10 +88,10 @@
         return !response.ended() && !response.closed();
     }
 
-    /** Resets the connection even if events are pending; the client may attach again. */
+    /** Closes the connection even if events are pending; the client may attach again. */
     void close() {
         if (isOpen()) {
-            response.reset();
+            connectionCloser.run();
         }
     }
 }
--- a/src/test/java/nettlewick/net/DispatcherOnStubPlatform.java
+++ b/src/test/java/nettlewick/net/DispatcherOnStubPlatform.java
@@ -17,6 +17,8 @@
     private DispatcherServer dispatcher;
     /** The usage recorder of the next dispatcher. */
     public UsageRecorder usageRecorder = UsageRecorder.NONE;
+    /** The clock of the next dispatcher. */
+    public Clock clock = Clock.system();
 
     public DispatcherOnStubPlatform() throws Exception {}
 
@@ -34,7 +36,7 @@
         factories.addAll(List.of(additionalFactories));
         dispatcher = new DispatcherServer(
                         PlatformConfig.parse(new Gson().toJson(config), Map.of()),
-                        Clock.system(),
+                        clock,
                         factories.toArray(Frontend.Factory[]::new))
                 .withUsageRecorder(usageRecorder)
                 .withAdminServer(AdminFrontend::new);
--- /dev/null
+++ b/src/test/java/nettlewick/sse/SlowStreamReaderTest.java
@@ -0,0 +1,139 @@
+package nettlewick.sse;
+
+import static nettlewick.net.DispatcherOnStubPlatform.requestBytes;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.vertx.core.http.HttpClient;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import nettlewick.core.Clock;
+import nettlewick.net.DispatcherOnStubPlatform;
+import nettlewick.settings.Settings;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Clients that read the end of their stream late, on loopback and with a clock that the test advances. */
+@Timeout(60)
+class SlowStreamReaderTest {
+    private static final double START_MILLIS = System.currentTimeMillis();
+    private static final int RECEIVE_BUFFER_BYTES = 2048;
+    private static final String END_OF_RESPONSE = "0\r\n\r\n";
+
+    /** Characters of a result that is larger than what the socket and the write queue hold. */
+    private static final int LARGE_RESULT = 120_000;
+
+    private DispatcherOnStubPlatform platform;
+    private HttpClient httpClient;
+    private int port;
+
+    @BeforeEach
+    void start() throws Exception {
+        platform = new DispatcherOnStubPlatform();
+        httpClient = EventStreamClient.newHttpClient(platform.vertx);
+        platform.clock = Clock.stoppedAt(START_MILLIS);
+        platform.addEndpoint("s-1");
+        EventStreamConfig config =
+                EventStreamConfig.of(Settings.parse("test", "edge {\nlisten 127.0.0.1:0\nkeep 30s\nmax-readers 2\n}")
+                        .block("edge")
+                        .get());
+        port = platform.start(environment -> new EventStreamFrontend(environment, config))
+                .ports()
+                .get(1);
+    }
+
+    @AfterEach
+    void close() {
+        platform.close();
+    }
+
+    /** Opens a connection with a small receive buffer on which nothing is read, and waits for the stream's end. */
+    private Socket openUnreadStream(int progressLines, int resultLength) throws Exception {
+        platform.requestOverride = request -> {
+            request.response().setChunked(true);
+            for (int i = 0; i < progressLines; i++) {
+                request.response().write("{\"state\":\"running\",\"share\":0.25}\n");
+            }
+            request.response().end("{\"state\":\"done\",\"result\":\"" + "x".repeat(resultLength) + "\"}\n");
+        };
+        Socket socket = new Socket();
+        socket.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
+        socket.connect(new InetSocketAddress("127.0.0.1", port));
+        socket.getOutputStream()
+                .write(requestBytes("/api", "s", "step-view", "").getBytes());
+        EventStreamClient other = new EventStreamClient(platform.vertx, port, "s", "step-view");
+        other.post(httpClient);
+        other.ended.get(10, TimeUnit.SECONDS);
+        assertEquals("result", other.lastEvent().name());
+        return socket;
+    }
+
+    /** Advances the clock and waits until the frontend has checked its connections at the new time. */
+    private void advanceTo(double millis) throws Exception {
+        try (Socket idle = new Socket("127.0.0.1", port)) {
+            // Answered, so that the connection is registered and counts from the time before.
+            idle.getOutputStream().write("GET /events/s HTTP/1.1\r\nHost: x\r\nLast-Event-ID: 1\r\n\r\n".getBytes());
+            assertTrue(idle.getInputStream().read() >= 0);
+            platform.clock.advanceTo(START_MILLIS + millis);
+            // An idle connection that was served nothing is closed by the check.
+            idle.getInputStream().readAllBytes();
+        }
+    }
+
+    /** Waits until the stream is no longer retained. */
+    private void awaitForgotten() throws Exception {
+        int status = 0;
+        while (status != 404) {
+            EventStreamClient late = new EventStreamClient(platform.vertx, port, "s", "step-view");
+            late.get(httpClient).ended.get(10, TimeUnit.SECONDS);
+            status = late.status;
+        }
+    }
+
+    /** Reads until the end of the response or of the connection. */
+    private static String readRemaining(Socket socket) {
+        StringBuilder text = new StringBuilder();
+        try {
+            InputStream in = socket.getInputStream();
+            byte[] part = new byte[4096];
+            for (int n = in.read(part); n > 0; n = in.read(part)) {
+                text.append(new String(part, 0, n, StandardCharsets.ISO_8859_1));
+                if (text.toString().endsWith(END_OF_RESPONSE)) {
+                    break;
+                }
+            }
+        } catch (IOException e) {
+            text.append("reset");
+        }
+        return text.toString();
+    }
+
+    /** Otherwise clients that never read would use up the connections that may read streams. */
+    @ParameterizedTest
+    @ValueSource(ints = {0, 5_000})
+    void aClientThatNeverReadsIsDisconnectedOnceItsStreamIsForgotten(int progressLines) throws Exception {
+        try (Socket socket = openUnreadStream(progressLines, LARGE_RESULT)) {
+            advanceTo(31_000);
+            awaitForgotten();
+            platform.requestOverride = null;
+            EventStreamClient first = new EventStreamClient(platform.vertx, port, "first", "step-view");
+            EventStreamClient second = new EventStreamClient(platform.vertx, port, "second", "step-view");
+            platform.executionMillis = 500;
+            first.post(httpClient);
+            second.post(httpClient);
+            first.ended.get(10, TimeUnit.SECONDS);
+            second.ended.get(10, TimeUnit.SECONDS);
+            assertEquals(List.of(200, 200), List.of(first.status, second.status));
+            assertFalse(readRemaining(socket).endsWith(END_OF_RESPONSE));
+        }
+    }
+}
