Of progress that is read together only the newest is passed on

Callers saw: `unavailable` at the request's deadline although the endpoint had sent the result in time. In the known failure aSlowSubscriberLosesProgressButNotTheFinalEvent: no result event.

Cause: AttemptExchange.handleLine passed each line of progress on by itself (core thread, decision module, stream, a write for each subscriber), and the result behind the lines waited for all of it.

Ruled out: a late endpoint, the core thread (0.15 s of CPU), the subscriber (the fast stream ended the same way).

Change: ProgressCoalescer passes on the first report at once and of the others the newest of each event-loop turn, before the outcome at the latest. It works because the work for a line that has been overtaken no longer precedes the reading of the next one; each line is still parsed.

--- a/src/main/java/nettlewick/net/endpoint/AttemptExchange.java
+++ b/src/main/java/nettlewick/net/endpoint/AttemptExchange.java
@@ -21,10 +21,13 @@
     private static final double DUPLICATE_ANSWER_WINDOW_MILLIS = 50;
 
     private final Attempt attempt;
+    private final ProgressCoalescer progress;
 
     AttemptExchange(Attempt attempt, EndpointConnectionPools pools) {
         super(pools);
         this.attempt = attempt;
+        progress = new ProgressCoalescer(
+                share -> pools.coordinator().reportProgress(attempt, share), pools::runAtEndOfTurn);
     }
 
     @Override
@@ -88,8 +91,8 @@
             }
             EndpointLoad load = fields.has("load") ? LoadReport.fromJson(fields.object("load")) : null;
             switch (fields.text("state")) {
-                case "started" -> pools().coordinator().reportProgress(attempt, 0);
-                case "running" -> pools().coordinator().reportProgress(attempt, fields.numberOr("share", 0, 0, 1));
+                case "started" -> progress.report(0);
+                case "running" -> progress.report(fields.numberOr("share", 0, 0, 1));
                 case "done" ->
                     finish(AttemptResult.SERVED, fields.text("result").getBytes(StandardCharsets.UTF_8), load);
                 case "failed" -> finish(AttemptResult.ERROR, null, load);
@@ -115,6 +118,7 @@
 
     @Override
     void reportOutcome(Attempt.Outcome outcome) {
+        progress.flush();
         pools().coordinator().attemptEnded(attempt, outcome);
     }
 }
--- a/src/main/java/nettlewick/net/endpoint/EndpointConnectionPools.java
+++ b/src/main/java/nettlewick/net/endpoint/EndpointConnectionPools.java
@@ -104,6 +104,11 @@
         return clock.nowMillis();
     }
 
+    /** Runs a task once the event loop has handled everything that it has read in this turn. */
+    void runAtEndOfTurn(Runnable task) {
+        eventLoop.runOnContext(v -> task.run());
+    }
+
     void runAfter(long millis, Runnable task) {
         vertx.setTimer(millis, id -> task.run());
     }
