--- a/src/main/java/nettlewick/net/client/HttpFrontend.java
+++ b/src/main/java/nettlewick/net/client/HttpFrontend.java
@@ -125,8 +125,8 @@
     }
 
     /**
-     * Closes the connection of a request at once. Vert.x closes a connection, or resets a response, only after everything
-     * written before has been sent; that never happens if the client does not read.
+     * Closes the connection of a request at once. Vert.x closes a connection, or resets a response, only after
+     * everything written before has been sent; that never happens if the client does not read.
      */
     protected final void closeNow(HttpServerRequest request) {
         ClientConnection client = connections.get(request.connection());
--- a/src/main/java/nettlewick/net/endpoint/ProgressCoalescer.java
+++ b/src/main/java/nettlewick/net/endpoint/ProgressCoalescer.java
@@ -6,8 +6,8 @@
 /**
  * Passes on the progress of an attempt. Of the reports that are read in one turn of the event loop only the newest is
  * passed on, at the end of the turn, since each one costs work on the core thread, in the decision module and for every
- * subscriber of a stream. The first report is passed on at once: it tells that the attempt has started. Runs on the event
- * loop.
+ * subscriber of a stream. The first report is passed on at once: it tells that the attempt has started. Runs on the
+ * event loop.
  */
 final class ProgressCoalescer {
     private final DoubleConsumer listener;
--- a/src/test/java/nettlewick/sse/SlowStreamReaderTest.java
+++ b/src/test/java/nettlewick/sse/SlowStreamReaderTest.java
@@ -123,8 +123,8 @@
     }
 
     /**
-     * The end of the smaller results waits in the connection's write queue, that of the larger ones in the subscriber; the
-     * boundary depends on the kernel.
+     * The end of the smaller results waits in the connection's write queue, that of the larger ones in the subscriber;
+     * the boundary depends on the kernel.
      */
     @ParameterizedTest
     @ValueSource(
