Event streams: a stream that is not retained keeps its subscribers until they have read

Callers would have seen: with `keep-streams 0`, or when newer streams push one out, a final event of more than 8 KB cut off.

Cause: StreamRegistry.forget closed the subscribers of each stream that it no longer retains, whatever limit it exceeded, and a subscriber that writes in parts has not ended its response yet.

Change: a stream that is no longer retained keeps its subscribers until `keep` after its end, at least 5 s; streams without subscribers are dropped from that list at the next end or check. Expired streams are closed as before.

--- a/src/main/java/nettlewick/sse/StreamRegistry.java
+++ b/src/main/java/nettlewick/sse/StreamRegistry.java
@@ -18,12 +18,18 @@
     /** Bounds the heap that the retained final events take, in characters. */
     private static final int MAX_RETAINED_CHARS = 2 << 20;
 
+    /** Subscribers of a finished stream have at least this long to read its final event. */
+    private static final double MIN_READ_MILLIS = 5000;
+
     private record FinishedStream(String id, RequestStream stream, double endedAtMillis) {}
 
     private final Map<String, RequestStream> streams = new LinkedHashMap<>();
     /** Ordered from the oldest to the newest. */
     private final Deque<FinishedStream> finished = new ArrayDeque<>();
 
+    /** Streams that are no longer retained and whose subscribers still read, from the oldest to the newest. */
+    private final Deque<FinishedStream> unread = new ArrayDeque<>();
+
     private final Set<String> forgottenIds = new LinkedHashSet<>();
     private final double retentionMillis;
     private final int maxFinished;
@@ -59,11 +65,17 @@
         forgetExpired(nowMillis);
     }
 
-    /** Removes finished streams that have expired or exceed the limits. */
+    /** Removes finished streams that have expired or exceed the limits, and closes subscribers that did not read. */
     void forgetExpired(double nowMillis) {
         while (!finished.isEmpty() && mustForgetOldest(nowMillis)) {
             forget(finished.pollFirst());
         }
+        unread.removeIf(entry -> !entry.stream().hasSubscribers());
+        double readMillis = Math.max(retentionMillis, MIN_READ_MILLIS);
+        while (!unread.isEmpty() && nowMillis - unread.peekFirst().endedAtMillis() >= readMillis) {
+            // Otherwise a subscriber that never reads would keep its connection and events forever.
+            unread.pollFirst().stream().closeSubscribers();
+        }
     }
 
     private boolean mustForgetOldest(double nowMillis) {
@@ -79,7 +91,6 @@
         if (forgottenIds.size() > MAX_FORGOTTEN_IDS) {
             forgottenIds.remove(forgottenIds.iterator().next());
         }
-        // Otherwise a subscriber that never reads would keep its connection and events forever.
-        oldest.stream().closeSubscribers();
+        unread.addLast(oldest);
     }
 }
--- a/src/test/java/nettlewick/sse/SlowStreamReaderTest.java
+++ b/src/test/java/nettlewick/sse/SlowStreamReaderTest.java
@@ -39,13 +39,16 @@
     private int port;
 
     @BeforeEach
-    void start() throws Exception {
+    void open() throws Exception {
         platform = new DispatcherOnStubPlatform();
         httpClient = EventStreamClient.newHttpClient(platform.vertx);
         platform.clock = Clock.stoppedAt(START_MILLIS);
         platform.addEndpoint("s-1");
-        EventStreamConfig config =
-                EventStreamConfig.of(Settings.parse("test", "edge {\nlisten 127.0.0.1:0\nkeep 30s\nmax-readers 2\n}")
+    }
+
+    private void start(String retention) throws Exception {
+        EventStreamConfig config = EventStreamConfig.of(
+                Settings.parse("test", "edge {\nlisten 127.0.0.1:0\nmax-readers 2\n" + retention + "\n}")
                         .block("edge")
                         .get());
         port = platform.start(environment -> new EventStreamFrontend(environment, config))
@@ -144,6 +147,7 @@
                 LARGE_RESULT
             })
     void aClientThatPausesReceivesTheWholeFinalEvent(int resultLength) throws Exception {
+        start("keep 30s");
         try (Socket socket = openUnreadStream(0, resultLength)) {
             advanceTo(7000);
             String text = readRemaining(socket);
@@ -156,6 +160,7 @@
     @ParameterizedTest
     @ValueSource(ints = {0, 5_000})
     void aClientThatNeverReadsIsDisconnectedOnceItsStreamIsForgotten(int progressLines) throws Exception {
+        start("keep 30s");
         try (Socket socket = openUnreadStream(progressLines, LARGE_RESULT)) {
             advanceTo(31_000);
             awaitForgotten();
@@ -171,4 +176,14 @@
             assertFalse(readRemaining(socket).endsWith(END_OF_RESPONSE));
         }
     }
+
+    /** Guards against closing the subscribers of a stream that is not retained while they read its final event. */
+    @ParameterizedTest
+    @ValueSource(strings = {"keep-streams 0", "keep 1ms"})
+    void aLargeFinalEventIsDeliveredThoughItsStreamIsNotRetained(String retention) throws Exception {
+        start(retention);
+        try (Socket socket = openUnreadStream(0, LARGE_RESULT)) {
+            assertTrue(readRemaining(socket).endsWith(END_OF_RESPONSE));
+        }
+    }
 }
