--- a/review/standins/Kit.java
+++ b/review/standins/Kit.java
@@ -157,19 +157,38 @@
         final int port;
 
         Dispatcher(Bench bench, String life, int port, String config, String arguments) throws IOException {
+            this(bench, life, life, port, config, arguments, Map.of());
+        }
+
+        /**
+         * Starts a process.
+         *
+         * @param home        processes with the same home share their $TMPDIR, as those of an upgrade do
+         * @param environment variables in addition to $ROUTER_CONFIG and $TMPDIR
+         */
+        Dispatcher(
+                Bench bench,
+                String life,
+                String home,
+                int port,
+                String config,
+                String arguments,
+                Map<String, String> environment)
+                throws IOException {
             this.port = port;
             Path own = Files.createDirectories(bench.temporary.resolve(life));
             Path file = Files.writeString(own.resolve("config.json"), config);
             log = own.resolve("log");
-            Path tmp = Files.createDirectories(own.resolve("tmp"));
+            Path tmp = Files.createDirectories(bench.temporary.resolve(home + "-tmp"));
             ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", runCommand(bench.root) + arguments)
                     .directory(bench.root.toFile())
                     .redirectErrorStream(true)
                     .redirectOutput(log.toFile());
-            builder.environment().put("TMPDIR", tmp.toString());
-            builder.environment().put("ROUTER_CONFIG", file.toString());
             List.of("ROUTER_NAME", "ROUTER_LISTEN", "ROUTER_DISCOVERY", "ROUTER_ADMIN_ADDR")
                     .forEach(builder.environment()::remove);
+            builder.environment().put("TMPDIR", tmp.toString());
+            builder.environment().put("ROUTER_CONFIG", file.toString());
+            builder.environment().putAll(environment);
             process = builder.start();
             bench.dispatchers.add(this);
             bench.record("dispatcher " + life + " started, process " + process.pid());
