--- a/review/standins/RetryStorm.java
+++ b/review/standins/RetryStorm.java
@@ -2,6 +2,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -29,11 +30,15 @@
     private static final double LATE_SECONDS = 0.5;
 
     private static final long PAUSE_MILLIS = 400;
+    /** After this the usual clients begin nothing more. */
+    private static final double LONGEST_SECONDS = 45;
 
     private final Kit.Bench bench;
     private final AtomicBoolean stop = new AtomicBoolean();
     private final AtomicLong again = new AtomicLong();
     private final AtomicInteger lost = new AtomicInteger();
+    /** Reset connections; their requests may be unread, so they are not counted as lost. */
+    private final AtomicInteger reset = new AtomicInteger();
     private final AtomicInteger answered = new AtomicInteger();
     private final AtomicInteger notTaken = new AtomicInteger();
     private int port;
@@ -79,22 +84,38 @@
         }
         stop.set(true);
         boolean crashed = !dispatcher.process.isAlive();
+        boolean hangs = !crashed && !answersHealth(dispatcher);
         bench.recordLog(dispatcher, Pattern.compile("OutOfMemory|SEVERE"), 6);
-        bench.record("usual clients: " + answered + " requests answered, " + lost + " lost, " + notTaken
+        bench.record("usual clients: " + answered + " requests answered, " + lost + " lost, " + reset + " reset, " + notTaken
                 + " not taken; " + again + " requests turned away and sent again; the dispatcher "
-                + (crashed ? "has ended" : "lives"));
-        return crashed || lost.get() > 0 ? Kit.BROKEN : answered.get() > 0 ? Kit.HELD : Kit.COULD_NOT_RUN;
+                + (crashed ? "has ended" : hangs ? "lives and hangs" : "lives"));
+        return crashed || hangs || lost.get() > 0 ? Kit.BROKEN : answered.get() > 0 ? Kit.HELD : Kit.COULD_NOT_RUN;
+    }
+
+    /** Whether the dispatcher answers its health check, some time after the last bad client has gone. */
+    private boolean answersHealth(Kit.Dispatcher dispatcher) {
+        try {
+            dispatcher.awaitReady();
+            return true;
+        } catch (IOException e) {
+            bench.record("no answer at /_health for 30 s after the bad clients have gone");
+            return false;
+        }
     }
 
     private void sendAsUsual(int client, Kit.Dispatcher dispatcher) {
-        for (int i = 0; i < USUAL_REQUESTS && lost.get() < 3 && dispatcher.process.isAlive(); i++) {
+        for (int i = 0; i < USUAL_REQUESTS && lost.get() + reset.get() < 3 && mayGoOn(dispatcher); i++) {
             send(String.format(Locale.ROOT, "aaaa%04x%08x", client, i));
             Kit.sleep(PAUSE_MILLIS);
         }
     }
 
+    private boolean mayGoOn(Kit.Dispatcher dispatcher) {
+        return dispatcher.process.isAlive() && bench.seconds() < LONGEST_SECONDS;
+    }
+
     private void send(String id) {
-        boolean taken = false;
+        AtomicInteger counter = notTaken;
         long startedAt = System.nanoTime();
         String outcome;
         try (Socket socket = new Socket(Kit.HOST, port)) {
@@ -102,17 +123,19 @@
             byte[] head = Kit.job(id, "statement", STATEMENT_SECONDS, 2, "").getBytes(StandardCharsets.US_ASCII);
             socket.getOutputStream().write(head);
             socket.getOutputStream().write(new byte[] {'{', '}'});
-            taken = true;
+            counter = reset;
             Kit.Message answer = Kit.Message.read(new BufferedInputStream(socket.getInputStream()));
-            outcome = answer == null ? null : answer.first();
+            counter = answer == null ? lost : answered;
+            outcome = answer == null ? "LOST, closed without an answer" : answer.first();
+        } catch (SocketTimeoutException e) {
+            counter = lost;
+            outcome = "LOST, no answer half a second past its time, connection open";
         } catch (IOException e) {
-            outcome = null;
-            bench.record("request " + id + ": " + e);
+            outcome = e.getMessage();
         }
+        counter.incrementAndGet();
         double seconds = (System.nanoTime() - startedAt) / 1e9;
-        String verdict = !taken ? "not taken" : outcome == null ? "LOST, no whole answer" : outcome;
-        (!taken ? notTaken : outcome == null ? lost : answered).incrementAndGet();
-        bench.record(String.format(Locale.ROOT, "request %s: %s after %.2f s", id, verdict, seconds));
+        bench.record(String.format(Locale.ROOT, "request %s: %s after %.2f s", id, outcome, seconds));
     }
 
     private void sendAgainAndAgain(int client) {
