Review case 2: a mark-submit's stream that is read on after a kill runs it twice

Cause: a restarted dispatcher knows of no stream, and a client that has seen no event has no id to send.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -6,4 +6,4 @@
     echo "build the program and run review/build.sh first" >&2
     exit 2
 fi
-exec java -Xmx512m -cp "$root/target/review" AbortedUpgrade "$root" "$here"
+exec java -Xmx512m -cp "$root/target/review" StreamAcrossRestart "$root" "$here"
