Metrics: tasks and timers of the core thread, and the heap in use

Nothing that the process told could distinguish three hypotheses: a core thread that falls behind (a backlog of tasks), requests that really are open, and finished requests that something still holds.

The operators' metrics now have core.queued_tasks, core.scheduled_timers and heap.used_bytes, sampled with the module's statistics.

--- a/src/main/java/nettlewick/admin/MetricsFormatter.java
+++ b/src/main/java/nettlewick/admin/MetricsFormatter.java
@@ -19,6 +19,9 @@
         appendLine(text, "registry_entries", metrics.listedEndpoints());
         appendLine(text, "out_of_rotation", metrics.ejectedEndpoints());
         metrics.peerMessageFaults().forEach((kind, count) -> appendLine(text, "peers.passed_over." + kind, count));
+        appendLine(text, "core.queued_tasks", metrics.coreBacklog().queuedTasks());
+        appendLine(text, "core.scheduled_timers", metrics.coreBacklog().scheduledTimers());
+        appendLine(text, "heap.used_bytes", heapUsedBytes());
         additional.forEach((name, value) -> appendLine(text, name, value.longValue()));
         return text.toString();
     }
@@ -29,6 +32,11 @@
         }
     }
 
+    /** Heap that is occupied, including garbage that is not collected yet. */
+    private static long heapUsedBytes() {
+        return Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory();
+    }
+
     private static void appendLine(StringBuilder text, String name, long value) {
         text.append(PREFIX).append(name).append('=').append(value).append('\n');
     }
--- a/src/main/java/nettlewick/core/CoreLoop.java
+++ b/src/main/java/nettlewick/core/CoreLoop.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import nettlewick.core.Metrics.CoreBacklog;
 import nettlewick.decision.Action;
 import nettlewick.decision.Dispatcher;
 import nettlewick.decision.Event;
@@ -104,7 +105,7 @@
         while (!pendingEvents.isEmpty()) {
             decide();
         }
-        statsSampler.sampleIfDue(nowMillis);
+        statsSampler.sampleIfDue(nowMillis, new CoreBacklog(queue.size(), timers.size()));
     }
 
     private void runQueued(Runnable first) {
--- a/src/main/java/nettlewick/core/Metrics.java
+++ b/src/main/java/nettlewick/core/Metrics.java
@@ -41,6 +41,7 @@
      * @param ejectedEndpoints  endpoints on the endpoint list that currently get no requests
      * @param peerMessageFaults peer datagrams that the decision module discarded, by kind ({@code damaged},
      *                          {@code late}, {@code unlisted})
+     * @param coreBacklog       what the core thread holds
      */
     public record Snapshot(
             Map<String, List<Long>> endsByClass,
@@ -48,7 +49,16 @@
             int inFlightRequests,
             int listedEndpoints,
             int ejectedEndpoints,
-            Map<String, Long> peerMessageFaults) {}
+            Map<String, Long> peerMessageFaults,
+            CoreBacklog coreBacklog) {}
+
+    /**
+     * What the core thread holds; tells a thread that falls behind from one that keeps finished work.
+     *
+     * @param queuedTasks     tasks from other threads that wait for the core thread
+     * @param scheduledTimers timers that are not due yet
+     */
+    public record CoreBacklog(int queuedTasks, int scheduledTimers) {}
 
     private final Map<String, Map<RequestEnd, AtomicLong>> endsByClass = new LinkedHashMap<>();
     private final AtomicLong forwarded = new AtomicLong();
@@ -56,6 +66,7 @@
     private volatile int listedEndpoints;
     private volatile int ejectedEndpoints;
     private volatile Map<String, Long> peerMessageFaults = Map.of();
+    private volatile CoreBacklog coreBacklog = new CoreBacklog(0, 0);
 
     Metrics(List<String> requestClasses) {
         requestClasses.forEach(name -> endsByClass.put(name, newCounters()));
@@ -143,6 +154,11 @@
         peerMessageFaults = Map.copyOf(countsByKind);
     }
 
+    /** Sets what the core thread holds. */
+    void setCoreBacklog(CoreBacklog backlog) {
+        coreBacklog = backlog;
+    }
+
     /** A copy of all metrics at the current time. */
     public Snapshot snapshot() {
         Map<String, List<Long>> ends = new LinkedHashMap<>();
@@ -154,6 +170,7 @@
                 inFlight.get(),
                 listedEndpoints,
                 ejectedEndpoints,
-                peerMessageFaults);
+                peerMessageFaults,
+                coreBacklog);
     }
 }
--- a/src/main/java/nettlewick/core/ModuleStatsSampler.java
+++ b/src/main/java/nettlewick/core/ModuleStatsSampler.java
@@ -4,11 +4,12 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import nettlewick.core.Metrics.CoreBacklog;
 import nettlewick.decision.Dispatcher;
 import nettlewick.decision.Dispatcher.EndpointCounts;
 import nettlewick.decision.Dispatcher.PeerMessageFaults;
 
-/** Copies the decision module's statistics to the {@link Metrics} periodically. Core thread only. */
+/** Copies the statistics of the decision module and the core loop to the metrics periodically. Core thread only. */
 final class ModuleStatsSampler {
     private static final double SAMPLE_INTERVAL_MILLIS = 50;
 
@@ -23,13 +24,14 @@
         this.metrics = metrics;
     }
 
-    void sampleIfDue(double nowMillis) {
+    void sampleIfDue(double nowMillis, CoreBacklog backlog) {
         if (nowMillis - sampledAtMillis < SAMPLE_INTERVAL_MILLIS) {
             return;
         }
         sampledAtMillis = nowMillis;
         EndpointCounts counts = module.endpointCounts();
         metrics.setEndpointCounts(counts.listed(), counts.unavailable());
+        metrics.setCoreBacklog(backlog);
         reportPeerFaults(module.peerMessageFaults());
     }
 
--- a/src/main/java/nettlewick/core/TimerQueue.java
+++ b/src/main/java/nettlewick/core/TimerQueue.java
@@ -31,6 +31,11 @@
         return due;
     }
 
+    /** The number of tasks in the queue. */
+    int size() {
+        return tasks.size();
+    }
+
     /** Milliseconds until the next task is due, never negative; {@code idleMillis} if there is no task. */
     double millisUntilNext(double nowMillis, double idleMillis) {
         return tasks.isEmpty() ? idleMillis : Math.max(0, tasks.peek().dueAtMillis() - nowMillis);
