Core: cancel the timers of answered requests, which filled the heap

Cause: DeadlineGuard scheduled a timer for each accepted request, AttemptTracker one for each attempt, ProbeTracker one for each probe, and TimerQueue could not remove any. A timer holds its InFlightRequest and so the body, the headers and the client's response. A request that was rejected within a millisecond stayed in a heap of 64 MB until its deadline, 25 s later; 5,400 of 8 KiB fill it.

Change: schedule returns the task, which can be cancelled. An outbound call cancels its timeout when it ends, a request its deadline timer when its answer is decided; both forget the timer. The tasks still check whether their request is decided: one may be cancelled by another that is due in the same iteration.

--- a/src/main/java/nettlewick/core/AttemptTracker.java
+++ b/src/main/java/nettlewick/core/AttemptTracker.java
@@ -53,7 +53,7 @@
         double timeoutAt = dispatch.timeoutNanos() > 0
                 ? Math.min(deadline, now + ModuleTime.toMillis(dispatch.timeoutNanos()))
                 : deadline;
-        loop.schedule(timeoutAt, () -> endAndCancel(attempt, AttemptResult.TIMEOUT));
+        attempt.setTimeout(loop.schedule(timeoutAt, () -> endAndCancel(attempt, AttemptResult.TIMEOUT)));
         transport.send(attempt);
     }
 
--- a/src/main/java/nettlewick/core/CoreLoop.java
+++ b/src/main/java/nettlewick/core/CoreLoop.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import nettlewick.core.Metrics.CoreBacklog;
+import nettlewick.core.TimerQueue.ScheduledTask;
 import nettlewick.decision.Action;
 import nettlewick.decision.Dispatcher;
 import nettlewick.decision.Event;
@@ -71,10 +72,10 @@
         return !pendingEvents.isEmpty();
     }
 
-    /** Runs the task in the first iteration that starts at or after {@code dueAtMillis}. */
-    void schedule(double dueAtMillis, Runnable task) {
+    /** Runs the task in the first iteration that starts at or after {@code dueAtMillis}, unless it is cancelled. */
+    ScheduledTask schedule(double dueAtMillis, Runnable task) {
         assert isCoreThread();
-        timers.add(dueAtMillis, task);
+        return timers.add(dueAtMillis, task);
     }
 
     @Override
--- a/src/main/java/nettlewick/core/DeadlineGuard.java
+++ b/src/main/java/nettlewick/core/DeadlineGuard.java
@@ -15,7 +15,8 @@
     }
 
     void watch(InFlightRequest inFlight) {
-        loop.schedule(inFlight.request().deadlineMillis() + GRACE_MILLIS, () -> check(inFlight, true));
+        double dueAt = inFlight.request().deadlineMillis() + GRACE_MILLIS;
+        inFlight.setDeadlineTimer(loop.schedule(dueAt, () -> check(inFlight, true)));
     }
 
     /**
@@ -28,7 +29,7 @@
             return;
         }
         if (mayPostpone && loop.hasPendingEvents()) {
-            loop.schedule(loop.nowMillis(), () -> check(inFlight, false));
+            inFlight.setDeadlineTimer(loop.schedule(loop.nowMillis(), () -> check(inFlight, false)));
             return;
         }
         CoreLoop.LOG.warning(
--- a/src/main/java/nettlewick/core/InFlightRequest.java
+++ b/src/main/java/nettlewick/core/InFlightRequest.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
+import nettlewick.core.TimerQueue.ScheduledTask;
 import nettlewick.decision.SchedulerSettings.Idempotency;
 import nettlewick.decision.SchedulerSettings.RequestClass;
 
@@ -16,6 +17,8 @@
     private final Request request;
     private final RequestClass requestClass;
     private final List<Attempt> attempts = new ArrayList<>(INITIAL_ATTEMPT_CAPACITY);
+    /** Ends the request if it has no final answer in time; null once it has one. */
+    private ScheduledTask deadlineTimer;
     /** Volatile because the event loop reads it before it writes an attempt to an endpoint. */
     private volatile boolean answered;
 
@@ -50,10 +53,19 @@
         return answered;
     }
 
-    /** Marks the final answer as decided; returns true for the first call only. */
+    /** Sets the timer that checks for a final answer at the deadline; it is cancelled if there is one earlier. */
+    void setDeadlineTimer(ScheduledTask timer) {
+        deadlineTimer = timer;
+    }
+
+    /** Marks the final answer as decided and cancels the deadline timer; returns true for the first call only. */
     boolean markAnswered() {
         boolean first = !answered;
         answered = true;
+        if (deadlineTimer != null) {
+            deadlineTimer.cancel();
+            deadlineTimer = null;
+        }
         return first;
     }
 
--- a/src/main/java/nettlewick/core/OutboundCall.java
+++ b/src/main/java/nettlewick/core/OutboundCall.java
@@ -1,5 +1,7 @@
 package nettlewick.core;
 
+import nettlewick.core.TimerQueue.ScheduledTask;
+
 /**
  * A call to an endpoint, which ends exactly once. Owned by the core thread; {@link #endpoint} may be called on any
  * thread.
@@ -7,6 +9,9 @@
 abstract class OutboundCall {
     private final String endpoint;
     private final double sentAtMillis;
+    /** Ends the call when its time is up; null if there is no time limit, and once the call has ended. */
+    private ScheduledTask timeout;
+
     private boolean ended;
 
     OutboundCall(String endpoint, double sentAtMillis) {
@@ -23,10 +28,19 @@
         return sentAtMillis;
     }
 
-    /** Marks the call as ended; returns true for the first call only. */
+    /** Sets the timer that ends the call when its time is up; it is cancelled if the call ends earlier. */
+    final void setTimeout(ScheduledTask timer) {
+        timeout = timer;
+    }
+
+    /** Marks the call as ended and cancels its timeout; returns true for the first call only. */
     final boolean markEnded() {
         boolean first = !ended;
         ended = true;
+        if (timeout != null) {
+            timeout.cancel();
+            timeout = null;
+        }
         return first;
     }
 
--- a/src/main/java/nettlewick/core/ProbeTracker.java
+++ b/src/main/java/nettlewick/core/ProbeTracker.java
@@ -18,10 +18,10 @@
     void send(String endpoint) {
         double now = loop.nowMillis();
         Probe probe = new Probe(endpoint, now);
-        loop.schedule(now + PROBE_TIMEOUT_MILLIS, () -> {
+        probe.setTimeout(loop.schedule(now + PROBE_TIMEOUT_MILLIS, () -> {
             end(probe, Attempt.Outcome.of(AttemptResult.TIMEOUT), loop.nowMillis());
             transport.cancel(probe);
-        });
+        }));
         transport.probe(probe);
     }
 
