Event streams: a finished stream no longer holds its request and body

Change: the final event clears the field. The only reader, abandonIfUnsubscribed, asks for streams without a final event.

--- a/src/main/java/nettlewick/sse/RequestStream.java
+++ b/src/main/java/nettlewick/sse/RequestStream.java
@@ -24,7 +24,7 @@
     private long lastEventId;
     private StreamEvent latestProgress;
     private StreamEvent finalEvent;
-    /** Null if the request was never submitted. */
+    /** Null if the request was never submitted, and after the final event: a finished stream needs no body. */
     private Request request;
 
     private Metrics.RequestTracker requestTracker;
@@ -47,6 +47,7 @@
         requestTracker = tracker;
     }
 
+    /** The request, while it is in flight; otherwise null. */
     Request request() {
         return request;
     }
@@ -113,6 +114,7 @@
         }
         finalEvent = event;
         lastEventId = event.id();
+        request = null;
         // Iterates over a copy, since a subscriber may leave while it is offered the final event.
         List.copyOf(subscribers).forEach(subscriber -> subscriber.offer(event));
         onEnd.accept(this);
