Drain hand-over: a held request whose client has left is no longer kept

Change: a request knows whether it is held, and the held ones are selected from the table, which forgets a request when it ends. The table keeps the order of arrival, in which held requests were and are passed on. isDelayingDrainUseful no longer searches a list for each request.

Result: AnsweredRequestReleaseTest.anAbandonedRequestThatWasHeldForASuccessorIsReleased failed before and passes; the other tests of the package pass.

--- a/src/main/java/nettlewick/core/DrainHandover.java
+++ b/src/main/java/nettlewick/core/DrainHandover.java
@@ -1,6 +1,5 @@
 package nettlewick.core;
 
-import java.util.ArrayList;
 import java.util.List;
 
 /**
@@ -13,7 +12,6 @@
     private final FinalAnswers answers;
     private final RetryAdvice retryAdvice;
     private final DrainPolicy policy = new DrainPolicy();
-    private final List<InFlightRequest> held = new ArrayList<>();
 
     DrainHandover(CoreLoop loop, InFlightTable table, FinalAnswers answers, RetryAdvice retryAdvice) {
         this.loop = loop;
@@ -29,7 +27,7 @@
             case ADMIT -> handToModule(inFlight);
             case REJECT -> rejectUnsent(inFlight);
             case HOLD -> {
-                held.add(inFlight);
+                inFlight.setHeld(true);
                 loop.schedule(policy.holdUntilMillis(), this::releaseHeld);
             }
         }
@@ -46,8 +44,15 @@
     }
 
     private void releaseHeld() {
-        held.stream().filter(r -> !r.isAnswered()).forEach(this::handToModule);
-        held.clear();
+        takeHeld().forEach(this::handToModule);
+    }
+
+    /** Ends the hold of all held requests and returns them in the order of their arrival. */
+    private List<InFlightRequest> takeHeld() {
+        List<InFlightRequest> held =
+                table.unanswered().stream().filter(InFlightRequest::isHeld).toList();
+        held.forEach(r -> r.setHeld(false));
+        return held;
     }
 
     /** Sets when draining and the kill are expected, because a successor process is starting. */
@@ -64,8 +69,7 @@
     /** Starts draining and rejects the held requests. */
     void startDraining(double killAtMillis) {
         policy.startDraining(killAtMillis);
-        List.copyOf(held).forEach(this::rejectUnsent);
-        held.clear();
+        takeHeld().forEach(this::rejectUnsent);
     }
 
     /** Ends all requests: rejects them if a retry is safe, otherwise fails them. Later requests are rejected. */
@@ -80,7 +84,7 @@
     boolean isDelayingDrainUseful(double killDelayMillis) {
         double now = loop.nowMillis();
         return table.unanswered().stream()
-                .filter(r -> !held.contains(r))
+                .filter(r -> !r.isHeld())
                 .anyMatch(r -> policy.isSavedByDelayingDrain(remainingMillis(r), now, killDelayMillis));
     }
 
--- a/src/main/java/nettlewick/core/InFlightRequest.java
+++ b/src/main/java/nettlewick/core/InFlightRequest.java
@@ -17,6 +17,8 @@
     private final Request request;
     private final RequestClass requestClass;
     private final List<Attempt> attempts = new ArrayList<>(INITIAL_ATTEMPT_CAPACITY);
+    /** Whether the request waits for a successor process and the decision module does not know it yet. */
+    private boolean held;
     /** Ends the request if it has no final answer in time; null once it has one. */
     private ScheduledTask deadlineTimer;
     /** Volatile because the event loop reads it before it writes an attempt to an endpoint. */
@@ -53,6 +55,14 @@
         return answered;
     }
 
+    boolean isHeld() {
+        return held;
+    }
+
+    void setHeld(boolean isHeld) {
+        held = isHeld;
+    }
+
     /** Sets the timer that checks for a final answer at the deadline; it is cancelled if there is one earlier. */
     void setDeadlineTimer(ScheduledTask timer) {
         deadlineTimer = timer;
--- a/src/main/java/nettlewick/core/InFlightTable.java
+++ b/src/main/java/nettlewick/core/InFlightTable.java
@@ -1,6 +1,6 @@
 package nettlewick.core;
 
-import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -12,7 +12,8 @@
     /** Covers a few minutes of traffic. */
     private static final int MAX_FINISHED_IDS = 10_000;
 
-    private final Map<String, InFlightRequest> requests = new HashMap<>();
+    /** In the order of their arrival. */
+    private final Map<String, InFlightRequest> requests = new LinkedHashMap<>();
     /** Oldest first. */
     private final Set<String> finishedIds = new LinkedHashSet<>();
 
@@ -53,7 +54,7 @@
         return requests.get(id);
     }
 
-    /** A copy of the requests without a final answer. */
+    /** A copy of the requests without a final answer, in the order of their arrival. */
     List<InFlightRequest> unanswered() {
         return requests.values().stream().filter(r -> !r.isAnswered()).toList();
     }
--- a/src/test/java/nettlewick/core/AnsweredRequestReleaseTest.java
+++ b/src/test/java/nettlewick/core/AnsweredRequestReleaseTest.java
@@ -19,6 +19,8 @@
 /** The coordinator holds no request, and so no body, whose final answer is given, however late its deadline is. */
 class AnsweredRequestReleaseTest extends RequestCoordinatorFixture {
     private static final double DEADLINE_MILLIS = 25_000;
+    private static final double COST_HINT_MILLIS = 10;
+    private static final double LONGER_THAN_THE_DEADLINE_MILLIS = 30_000;
     /** Metrics are sampled at shorter intervals than this. */
     private static final double SAMPLE_MILLIS = 100;
 
@@ -41,11 +43,19 @@
 
     /** Submits a request that the test itself does not keep in memory. */
     private WeakReference<Request> submitWeakly() {
-        return new WeakReference<>(submit("a", DEADLINE_MILLIS));
+        return submitWeakly(COST_HINT_MILLIS);
+    }
+
+    private WeakReference<Request> submitWeakly(double costHintMillis) {
+        return new WeakReference<>(submit("a", DEADLINE_MILLIS, costHintMillis));
     }
 
     private void assertReleased(WeakReference<Request> request) throws InterruptedException {
         assertEquals(timersBefore, scheduledTimers());
+        assertUnreachable(request);
+    }
+
+    private static void assertUnreachable(WeakReference<Request> request) throws InterruptedException {
         for (int i = 0; i < MAX_COLLECTIONS && request.get() != null; i++) {
             System.gc();
             Thread.sleep(COLLECTION_PAUSE_MILLIS);
@@ -83,6 +93,17 @@
         assertReleased(request);
     }
 
+    /** Guards against holding requests of clients that have gone for as long as a successor process is awaited. */
+    @Test
+    void anAbandonedRequestThatWasHeldForASuccessorIsReleased() throws InterruptedException {
+        coordinator.expectSuccessor(START_MILLIS + DEADLINE_MILLIS, START_MILLIS + DEADLINE_MILLIS);
+        WeakReference<Request> request = submitWeakly(LONGER_THAN_THE_DEADLINE_MILLIS);
+        advanceTo(2 * SAMPLE_MILLIS);
+        coordinator.abandon(request.get());
+        advanceTo(3 * SAMPLE_MILLIS);
+        assertUnreachable(request);
+    }
+
     /** Guards against timeouts that stay behind for each attempt of a request that is sent again. */
     @Test
     void anEndedAttemptLeavesNoTimer() throws InterruptedException {
