Ledger: an answer is not kept after its release

In sync mode the core's timer for an overdue release referred to the entry for up to the release timeout.

Change: the entry takes the function out when it releases the answer; whether it is released is whether the function is gone. That also makes the release happen once at most, as the flag did.

--- a/src/main/java/nettlewick/ledger/Ledger.java
+++ b/src/main/java/nettlewick/ledger/Ledger.java
@@ -9,9 +9,9 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
 import nettlewick.core.Clock;
 import nettlewick.core.Request;
@@ -40,23 +40,29 @@
     /** A request from the decision of its end until its entry is committed. */
     private final class PendingEntry implements DeliveryCallback {
         final Entry draft;
-        final Consumer<DeliveryCallback> send;
-        final AtomicBoolean released = new AtomicBoolean();
+        /** Releases the answer; null once it is released, since it holds the request and its body. */
+        final AtomicReference<Consumer<DeliveryCallback>> send;
+
         Spool.IntentTracker tracker;
         boolean endRecorded;
         volatile Entry finalEntry;
 
         PendingEntry(Entry draft, Consumer<DeliveryCallback> send) {
             this.draft = draft;
-            this.send = send;
+            this.send = new AtomicReference<>(send);
         }
 
         void release() {
-            if (released.compareAndSet(false, true)) {
-                send.accept(this);
+            Consumer<DeliveryCallback> unreleased = send.getAndSet(null);
+            if (unreleased != null) {
+                unreleased.accept(this);
             }
         }
 
+        boolean isReleased() {
+            return send.get() == null;
+        }
+
         @Override
         public void onDelivered() {
             end(true);
@@ -209,7 +215,7 @@
         pending.tracker = currentSpool == null ? null : currentSpool.recordIntent(pending.draft);
         if (finished.ending() == Ending.LEFT) {
             release.accept(DeliveryCallback.NONE);
-            pending.released.set(true);
+            pending.send.set(null);
             pending.onAbandoned();
             return null;
         }
@@ -220,7 +226,7 @@
         }
         awaitingSync.add(pending);
         return () -> {
-            if (!pending.released.get()) {
+            if (!pending.isReleased()) {
                 unsyncedCount.incrementAndGet();
                 pending.release();
             }
@@ -277,7 +283,7 @@
                 }
                 if (!synced) {
                     unsyncedCount.addAndGet(
-                            group.stream().filter(i -> !i.released.get()).count());
+                            group.stream().filter(i -> !i.isReleased()).count());
                 }
                 group.forEach(this::releaseAnswer);
             }
--- a/src/test/java/nettlewick/ledger/LedgerTest.java
+++ b/src/test/java/nettlewick/ledger/LedgerTest.java
@@ -8,6 +8,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.lang.ref.WeakReference;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.ZoneOffset;
@@ -15,7 +16,9 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -93,6 +96,34 @@
         return ledger.metrics().get("ledger." + metric).longValue() == value;
     }
 
+    /** Guards against a heap full of bodies of requests whose answers were released and are still being written. */
+    @Test
+    void aReleasedAnswerIsNotKeptUntilItsDelivery() throws Exception {
+        Ledger ledger = ledger(settings(true, 60_000, 100), Clock.system(), point -> {});
+        ledger.awaitReady();
+        List<UsageRecorder.DeliveryCallback> undelivered = new CopyOnWriteArrayList<>();
+        List<Runnable> timeouts = new ArrayList<>();
+        WeakReference<byte[]> body = recordWithBody(ledger, undelivered, timeouts);
+        waitUntil(() -> undelivered.size() == 1);
+        waitUntil(() -> {
+            System.gc();
+            return body.get() == null;
+        });
+        timeouts.forEach(Runnable::run);
+        assertEquals(1, undelivered.size());
+    }
+
+    /** Records a request whose answer refers to a body that the caller does not keep. */
+    private static WeakReference<byte[]> recordWithBody(
+            Ledger ledger, List<UsageRecorder.DeliveryCallback> undelivered, List<Runnable> timeouts) {
+        byte[] body = new byte[1];
+        timeouts.add(ledger.record(finishedRequest("a", Ending.SERVED), receipt -> {
+            Objects.requireNonNull(body);
+            undelivered.add(receipt);
+        }));
+        return new WeakReference<>(body);
+    }
+
     @Test
     void inSyncModeAnswersAreHeldUntilTheirIntentIsSynced() throws Exception {
         CountDownLatch diskReady = new CountDownLatch(1);
