--- a/src/main/java/nettlewick/net/endpoint/EndpointConnectionPools.java
+++ b/src/main/java/nettlewick/net/endpoint/EndpointConnectionPools.java
@@ -109,8 +109,14 @@
         eventLoop.runOnContext(v -> task.run());
     }
 
-    void runAfter(long millis, Runnable task) {
-        vertx.setTimer(millis, id -> task.run());
+    /** Runs a task after a delay; returns the id by which {@link #cancelTimer} cancels it. */
+    long runAfter(long millis, Runnable task) {
+        return vertx.setTimer(millis, id -> task.run());
+    }
+
+    /** Cancels a task of {@link #runAfter}; ignored if it has run. */
+    void cancelTimer(long timerId) {
+        vertx.cancelTimer(timerId);
     }
 
     void changeOpenConnections(int delta) {
--- a/src/main/java/nettlewick/net/endpoint/OutboundRequest.java
+++ b/src/main/java/nettlewick/net/endpoint/OutboundRequest.java
@@ -22,6 +22,8 @@
     private EndpointConnections.EndpointConnection connection;
     private boolean responseStarted;
     private boolean requestWritten;
+    /** The timer that closes the connection if the rest of the response does not arrive; null while there is none. */
+    private Long responseTailTimer;
 
     OutboundRequest(EndpointConnectionPools pools) {
         this.pools = pools;
@@ -140,6 +142,7 @@
         response.exceptionHandler(e -> connection.close());
         response.endHandler(v -> {
             bodyEnded();
+            cancelResponseTailTimer();
             if (isOver()) {
                 connection.release(this);
             } else {
@@ -157,7 +160,16 @@
         return didNotRun ? AttemptResult.OVERLOADED : AttemptResult.ERROR;
     }
 
+    /** The timer holds this request, and so its body, for as long as it is scheduled. */
+    private void cancelResponseTailTimer() {
+        if (responseTailTimer != null) {
+            pools.cancelTimer(responseTailTimer);
+            responseTailTimer = null;
+        }
+    }
+
     void connectionLost() {
+        cancelResponseTailTimer();
         if (connection != null && !responseStarted && !isOver()) {
             connection.recordUse(true);
             if (mayResend() && connection.isReused()) {
@@ -181,7 +193,7 @@
             pools.requestFinished(this);
             if (connection != null) {
                 EndpointConnections.EndpointConnection used = connection;
-                pools.runAfter(RESPONSE_TAIL_MILLIS, () -> used.closeIfStillCarries(this));
+                responseTailTimer = pools.runAfter(RESPONSE_TAIL_MILLIS, () -> used.closeIfStillCarries(this));
             }
         }
     }
