Event streams: a stream starts with an id, so that a reconnecting client is recognized

Cause: a process takes a request for a repeated one if it knows the id, or if the client has a Last-Event-ID above 0. A process that has just started knows no id, and a client had none to send until the first event, so for as long as its request waited at an endpoint. A header with 0 counted as none.

The client got the head and `retry: 1000`, and no id; its second POST went to the new process without Last-Event-ID and was sent on, attempt 2 at the endpoint. So neither a given id was ignored, nor did one process send twice (the first was dead).

Change: each stream starts with a block that has an id and no data, 0 for a new client and otherwise the one it sent. By the specification such a block dispatches no event and sets the id with which a client reconnects. A request with the header that the process does not know ends in `failed`, unless its class is idempotent and its client has seen no event; that one is sent as before. Each refusal is logged with the id. The header has a type of its own, LastEventId.

The same cause on related paths: a planned end, an upgrade or another dispatcher (both processes live and the new one gets the request), a keyed class (which a process must not repeat without knowing window and scope), and a connection that breaks alone, which already worked and now has a test for the time before the first event.

Not covered: a client that loses its connection before it has read the first bytes has no id to send; a process that has the request attaches it, another one cannot tell it from a new one.

--- a/src/main/java/nettlewick/sse/EventStreamFrontend.java
+++ b/src/main/java/nettlewick/sse/EventStreamFrontend.java
@@ -7,6 +7,7 @@
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
 import nettlewick.core.Request;
+import nettlewick.log.ComponentLogger;
 import nettlewick.net.client.HttpFrontend;
 import nettlewick.net.client.RequestReader;
 
@@ -16,6 +17,7 @@
  * the request again. Confined to the event loop.
  */
 public final class EventStreamFrontend extends HttpFrontend {
+    private static final ComponentLogger LOG = ComponentLogger.of("edge");
     private static final String STREAM_PATH_PREFIX = "/events/";
     /** Bounds the kernel memory that a slow client takes, which could otherwise grow to megabytes. */
     private static final int SEND_BUFFER_BYTES = 32 * 1024;
@@ -109,11 +111,17 @@
                 task -> environment().eventLoop().runOnContext(v -> task.run()),
                 finished -> streams.retainFinished(
                         parsedRequest.id(), finished, environment().clock().nowMillis()));
-        long lastSeenId = lastSeenId(http);
-        boolean mayHaveRun = streams.isForgotten(parsedRequest.id()) || lastSeenId > 0;
+        LastEventId lastEventId = LastEventId.of(http);
+        boolean mayHaveRun = streams.isForgotten(parsedRequest.id())
+                || mayHaveRunElsewhere(parsedRequest.requestClass(), lastEventId);
         if (mayHaveRun) {
-            // A request with this id ran here or in an earlier incarnation; submitting it might execute it twice.
-            stream.numberEventsAfter(lastSeenId);
+            LOG.warning(
+                    "not-repeated",
+                    "request " + parsedRequest.id() + " may have run before and is not sent; last event id "
+                            + (lastEventId.isPresent() ? lastEventId.number() : "none"),
+                    "request",
+                    parsedRequest.id());
+            stream.numberEventsAfter(lastEventId.number());
             stream.fail("the job was started before and its end is no longer known");
         }
         // Attaches before submitting, so that a request whose client cannot be answered is not started.
@@ -125,26 +133,26 @@
         }
     }
 
+    /**
+     * Whether another process, or an earlier life of this one, may have sent a request that this process does not know.
+     * A client with an event id was connected to the request's stream, so the request was submitted. If the client has
+     * seen no event, the request may still have run, which matters unless it can be repeated safely.
+     */
+    private boolean mayHaveRunElsewhere(String requestClass, LastEventId lastEventId) {
+        return lastEventId.number() > 0
+                || lastEventId.isPresent() && !environment().config().isIdempotentClass(requestClass);
+    }
+
     private void submit(RequestReader.ParsedRequest parsedRequest, RequestStream stream) {
         Request request = parsedRequest.toRequest(stream);
         stream.setRequest(request, environment().coordinator().metrics().trackRequest(parsedRequest.requestClass()));
         environment().coordinator().submit(request);
     }
 
-    /** The id of the last event that the client has seen, from its Last-Event-ID header; 0 for none. */
-    private static long lastSeenId(HttpServerRequest http) {
-        String text = http.getHeader("Last-Event-ID");
-        try {
-            return text == null ? 0 : Math.max(0, Long.parseLong(text.strip()));
-        } catch (NumberFormatException e) {
-            return 0;
-        }
-    }
-
     /** Subscribes the response to the stream; returns false if it was answered in another way. */
     private boolean attach(HttpServerRequest http, String id, RequestStream stream) {
         HttpServerResponse response = http.response();
-        long lastSeenId = lastSeenId(http);
+        long lastSeenId = LastEventId.of(http).number();
         if (stream.isFullySeen(lastSeenId)) {
             // A 204 makes an EventSource stop reconnecting.
             response.setStatusCode(STATUS_NO_CONTENT).end();
--- a/src/main/java/nettlewick/sse/StreamSubscriber.java
+++ b/src/main/java/nettlewick/sse/StreamSubscriber.java
@@ -14,6 +14,12 @@
     private static final int WRITE_QUEUE_BYTES = 8 * 1024;
     private static final int FINAL_PART_BYTES = 8 * 1024;
 
+    /**
+     * Starts a block without data: it dispatches no event, but its id is the {@code Last-Event-ID} with which the client
+     * reconnects, even if it has seen no event by then.
+     */
+    private static final String OPENING_ID_PREFIX = "id: ";
+
     private final HttpServerResponse response;
     private final long lastSeenId;
     private final Runnable connectionCloser;
@@ -37,7 +43,7 @@
         response.putHeader("Content-Type", "text/event-stream").putHeader("Cache-Control", "no-store");
         response.exceptionHandler(e -> {});
         response.drainHandler(v -> flush());
-        response.write("retry: " + retryMillis + "\n\n");
+        response.write("retry: " + retryMillis + "\n\n" + OPENING_ID_PREFIX + lastSeenId + "\n\n");
     }
 
     /** Completes when the final event is written. */
--- a/src/test/java/nettlewick/sse/EventStreamClient.java
+++ b/src/test/java/nettlewick/sse/EventStreamClient.java
@@ -25,11 +25,13 @@
     volatile int status;
     volatile String rawText = "";
     private final Vertx vertx;
-    private final int port;
+    private volatile int port;
     private final String id;
     private final String requestClass;
     private volatile HttpConnection connection;
-    private volatile long lastEventId;
+    /** As the client sends it when it reconnects; null while it has received no id. */
+    private volatile Long lastEventId;
+
     private volatile int connectionNumber;
 
     EventStreamClient(Vertx vertx, int port, String id, String requestClass) {
@@ -68,8 +70,8 @@
                 .putHeader("X-Class", requestClass)
                 .putHeader("X-Tenant", "red")
                 .putHeader("X-Deadline", "4");
-        if (lastEventId > 0) {
-            options.putHeader("Last-Event-ID", Long.toString(lastEventId));
+        if (lastEventId != null) {
+            options.putHeader("Last-Event-ID", lastEventId.toString());
         }
         httpClient
                 .request(options)
@@ -125,6 +127,13 @@
         post(httpClient);
     }
 
+    /** Closes the connection and connects to another process. */
+    void reconnectTo(int otherPort, HttpClient httpClient) {
+        disconnect();
+        port = otherPort;
+        post(httpClient);
+    }
+
     void disconnect() {
         connectionNumber++;
         if (connection != null) {
