Final answers: withdrawing a request goes through reject and fail

Cause: rejecting and failing stood twice, once with and once without the notice to the module, in four methods. Change: withdraw adds the notice for an unanswered request and then calls reject or fail. The notice is added before the answer is decided, both in the same task of the core thread, so the module and the caller see what they saw.

--- a/src/main/java/nettlewick/core/FinalAnswers.java
+++ b/src/main/java/nettlewick/core/FinalAnswers.java
@@ -31,7 +31,11 @@
     /** Rejects a request; {@code retryAfterMillis} is 0 for no advice. */
     void reject(InFlightRequest inFlight, double retryAfterMillis) {
         if (table.markAnswered(inFlight)) {
-            releaseRejection(inFlight, retryAfterMillis);
+            Request request = inFlight.request();
+            listener.onRequestRejected(request);
+            accounting.record(
+                    inFlight, Ending.REFUSED, null, () -> request.caller().onRejected(retryAfterMillis));
+            table.removeIfFinished(inFlight);
         }
     }
 
@@ -43,47 +47,27 @@
      * @param reason           sent to the client if the request is failed
      */
     void withdraw(InFlightRequest inFlight, double retryAfterMillis, String reason) {
+        if (inFlight.isAnswered()) {
+            return;
+        }
+        loop.addEvent(new Abandoned(inFlight.id()));
         if (inFlight.isSafeToReject()) {
-            rejectAndWithdraw(inFlight, retryAfterMillis);
+            reject(inFlight, retryAfterMillis);
         } else {
-            failAndWithdraw(inFlight, reason);
+            fail(inFlight, reason);
         }
     }
 
-    private void rejectAndWithdraw(InFlightRequest inFlight, double retryAfterMillis) {
-        if (table.markAnswered(inFlight)) {
-            loop.addEvent(new Abandoned(inFlight.id()));
-            releaseRejection(inFlight, retryAfterMillis);
-        }
-    }
-
-    private void releaseRejection(InFlightRequest inFlight, double retryAfterMillis) {
-        Request request = inFlight.request();
-        listener.onRequestRejected(request);
-        accounting.record(inFlight, Ending.REFUSED, null, () -> request.caller().onRejected(retryAfterMillis));
-        table.removeIfFinished(inFlight);
-    }
-
     /** Fails a request; the reason is sent to its client. */
     void fail(InFlightRequest inFlight, String reason) {
         if (table.markAnswered(inFlight)) {
-            releaseFailure(inFlight, reason);
-        }
-    }
-
-    private void failAndWithdraw(InFlightRequest inFlight, String reason) {
-        if (table.markAnswered(inFlight)) {
-            loop.addEvent(new Abandoned(inFlight.id()));
-            releaseFailure(inFlight, reason);
+            Request request = inFlight.request();
+            accounting.record(
+                    inFlight, Ending.FAILED, null, () -> request.caller().onFailed(reason));
+            table.removeIfFinished(inFlight);
         }
     }
 
-    private void releaseFailure(InFlightRequest inFlight, String reason) {
-        Request request = inFlight.request();
-        accounting.record(inFlight, Ending.FAILED, null, () -> request.caller().onFailed(reason));
-        table.removeIfFinished(inFlight);
-    }
-
     /** Ends a request whose client has disconnected; no answer is sent. */
     void abandon(InFlightRequest inFlight) {
         if (table.markAnswered(inFlight)) {
