Tests: the response in two fragments stands once

Cause: FragmentedMessagesTest and DiscoveryWatchTest had the same twenty lines that build and split a response. Change: FragmentedResponse has them; checks and cuts are as they were.

--- a/src/test/java/nettlewick/net/FragmentedMessagesTest.java
+++ b/src/test/java/nettlewick/net/FragmentedMessagesTest.java
@@ -7,9 +7,7 @@
 
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
-import io.vertx.core.buffer.Buffer;
 import io.vertx.core.net.NetServer;
-import io.vertx.core.net.NetSocket;
 import io.vertx.core.net.SocketAddress;
 import io.vertx.core.parsetools.RecordParser;
 import java.io.OutputStream;
@@ -28,7 +26,6 @@
 /** Messages that arrive in two fragments, split at every byte: inside a line, a length or a character. */
 @Timeout(60)
 class FragmentedMessagesTest {
-    private static final String OK = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
     private final Vertx vertx = Vertx.vertx();
 
     @AfterEach
@@ -36,18 +33,6 @@
         awaitResult(vertx.close());
     }
 
-    private static Buffer chunk(String line) {
-        Buffer text = Buffer.buffer(line + "\n");
-        return Buffer.buffer(Integer.toHexString(text.length()) + "\r\n")
-                .appendBuffer(text)
-                .appendString("\r\n");
-    }
-
-    private void write(NetSocket socket, Buffer bytes, int cut) {
-        socket.write(bytes.slice(0, cut));
-        vertx.setTimer(1, id -> socket.write(bytes.slice(cut, bytes.length())));
-    }
-
     private static void write(Socket socket, byte[] bytes, int cut) throws Exception {
         socket.setTcpNoDelay(true);
         OutputStream out = socket.getOutputStream();
@@ -59,10 +44,10 @@
 
     @Test
     void readsAnEndpointResponseSplitAtAnyByte() throws Exception {
-        Buffer response = Buffer.buffer(OK)
-                .appendBuffer(chunk("{\"state\":\"started\"}"))
-                .appendBuffer(chunk("{\"state\":\"done\",\"result\":\"é✓\"}"))
-                .appendString("0\r\n\r\n");
+        FragmentedResponse response = new FragmentedResponse()
+                .line("{\"state\":\"started\"}")
+                .line("{\"state\":\"done\",\"result\":\"é✓\"}")
+                .end();
         AtomicInteger cut = new AtomicInteger(1);
         NetServer endpoint = vertx.createNetServer().connectHandler(socket -> {
             socket.exceptionHandler(e -> {});
@@ -71,7 +56,7 @@
                 if (request.toString().startsWith("GET")) {
                     socket.write("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nx0=4,x1=4");
                 } else {
-                    write(socket, response, cut.get());
+                    response.write(vertx, socket, cut.get());
                 }
             }));
         });
--- a/src/test/java/nettlewick/net/discovery/DiscoveryWatchTest.java
+++ b/src/test/java/nettlewick/net/discovery/DiscoveryWatchTest.java
@@ -5,15 +5,14 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import io.vertx.core.Vertx;
-import io.vertx.core.buffer.Buffer;
 import io.vertx.core.net.NetServer;
-import io.vertx.core.net.NetSocket;
 import io.vertx.core.net.SocketAddress;
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
 import nettlewick.core.Clock;
+import nettlewick.net.FragmentedResponse;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -21,7 +20,6 @@
 /** The watch on discovery, with messages that arrive in fragments. */
 @Timeout(60)
 class DiscoveryWatchTest {
-    private static final String OK = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
     private final Vertx vertx = Vertx.vertx();
 
     @AfterEach
@@ -29,27 +27,15 @@
         awaitResult(vertx.close());
     }
 
-    private static Buffer chunk(String line) {
-        Buffer text = Buffer.buffer(line + "\n");
-        return Buffer.buffer(Integer.toHexString(text.length()) + "\r\n")
-                .appendBuffer(text)
-                .appendString("\r\n");
-    }
-
-    private void write(NetSocket socket, Buffer bytes, int cut) {
-        socket.write(bytes.slice(0, cut));
-        vertx.setTimer(1, id -> socket.write(bytes.slice(cut, bytes.length())));
-    }
-
     @Test
     void readsADiscoveryListSplitAtAnyByte() throws Exception {
         String list = "{\"seq\":1,\"whole\":true,\"hosts\":[{\"host\":\"s-é✓\",\"dial\":\"127.0.0.1:1\","
                 + "\"health\":\"Ready\"}]}";
-        Buffer response = Buffer.buffer(OK).appendBuffer(chunk(list)).appendBuffer(chunk(""));
+        FragmentedResponse response = new FragmentedResponse().line(list).line("");
         AtomicInteger cut = new AtomicInteger();
         NetServer discovery = vertx.createNetServer().connectHandler(socket -> {
             socket.exceptionHandler(e -> {});
-            socket.handler(request -> write(socket, response, cut.incrementAndGet()));
+            socket.handler(request -> response.write(vertx, socket, cut.incrementAndGet()));
         });
         awaitResult(discovery.listen(0, "127.0.0.1"));
         SocketAddress address = SocketAddress.inetSocketAddress(discovery.actualPort(), "127.0.0.1");
