--- a/src/main/java/nettlewick/sse/StreamSubscriber.java
+++ b/src/main/java/nettlewick/sse/StreamSubscriber.java
@@ -15,8 +15,8 @@
     private static final int FINAL_PART_BYTES = 8 * 1024;
 
     /**
-     * Starts a block without data: it dispatches no event, but its id is the {@code Last-Event-ID} with which the client
-     * reconnects, even if it has seen no event by then.
+     * Starts a block without data: it dispatches no event, but its id is the {@code Last-Event-ID} with which the
+     * client reconnects, even if it has seen no event by then.
      */
     private static final String OPENING_ID_PREFIX = "id: ";
 
--- a/src/test/java/nettlewick/sse/StreamAcrossProcessesTest.java
+++ b/src/test/java/nettlewick/sse/StreamAcrossProcessesTest.java
@@ -112,7 +112,7 @@
         assertEquals(1, waitingRequests.size());
     }
 
-    /** Guards against a repetition outside the scope and the window of a key, which the second process does not know. */
+    /** Guards against a repetition outside the scope or the window of a key, which another process does not know. */
     @Test
     void aKeyedRequestIsNotSentByASecondProcess() throws Exception {
         EventStreamClient client = submit("save-run");
