Endpoint connections: a response line beyond its limit closes the connection

Cause: RecordParser reports a line beyond its limit and goes on to buffer what follows. The attempt was over, but its connection stayed open for the rest of the response, 1 s by a timer of the event loop that the full heap holds up.

Change: such a line ends the attempt by closing the connection before the outcome is reported, and no byte reaches the parser once the attempt is over. On a related path, what follows a result is discarded in place of parsed, and bounded at 64 KiB.

Result: both tests of AbandonedResponseTest failed before (TimeoutException, the connection was open after 0.8 s) and pass. MalformedResponseTest, MismatchedResponseTest and EndpointConnectionModelTest pass unchanged.

--- a/src/main/java/nettlewick/net/endpoint/AttemptExchange.java
+++ b/src/main/java/nettlewick/net/endpoint/AttemptExchange.java
@@ -72,13 +72,20 @@
             return;
         }
         RecordParser lines = RecordParser.newDelimited("\n").maxRecordSize(MAX_LINE_BYTES);
-        lines.exceptionHandler(e -> finish(AttemptResult.ERROR, null, null));
+        // The parser keeps on buffering a line that is too long, so nothing more may reach it.
+        lines.exceptionHandler(e -> abandon(AttemptResult.ERROR));
         lines.handler(line -> {
             if (!isOver() && line.length() > 0) {
                 handleLine(line.toString(StandardCharsets.UTF_8));
             }
         });
-        response.handler(lines);
+        response.handler(part -> {
+            if (isOver()) {
+                discard(part);
+            } else {
+                lines.handle(part);
+            }
+        });
     }
 
     private void handleLine(String text) {
--- a/src/main/java/nettlewick/net/endpoint/OutboundRequest.java
+++ b/src/main/java/nettlewick/net/endpoint/OutboundRequest.java
@@ -13,6 +13,9 @@
     /** Time in which the rest of a response must arrive once its result is known; then its connection is closed. */
     private static final long RESPONSE_TAIL_MILLIS = 1000;
 
+    /** Bytes of the rest of a response that are read so that its connection can be reused. */
+    private static final int MAX_RESPONSE_TAIL_BYTES = 64 * 1024;
+
     static final int OK = 200;
     private static final int SERVICE_UNAVAILABLE = 503;
     private static final int GATEWAY_TIMEOUT = 504;
@@ -22,6 +25,7 @@
     private EndpointConnections.EndpointConnection connection;
     private boolean responseStarted;
     private boolean requestWritten;
+    private int discardedBytes;
     /** The timer that closes the connection if the rest of the response does not arrive; null while there is none. */
     private Long responseTailTimer;
 
@@ -198,6 +202,23 @@
         }
     }
 
+    /** Gives the request up because its response is malformed: closes its connection, then reports the result. */
+    final void abandon(AttemptResult result) {
+        if (state.finish(result) != null) {
+            connection.close();
+            reportOutcome(Attempt.Outcome.of(result));
+            pools.requestFinished(this);
+        }
+    }
+
+    /** Discards a part of a response whose result is known; closes the connection if there is too much of it. */
+    final void discard(Buffer part) {
+        discardedBytes += part.length();
+        if (discardedBytes > MAX_RESPONSE_TAIL_BYTES) {
+            connection.closeIfStillCarries(this);
+        }
+    }
+
     /** Cancels the request, whose response nobody waits for any more, by closing its connection. */
     void cancel() {
         if (state.finish(AttemptResult.CANCELLED) != null) {
