Endpoint connections: a malformed line closes the connection before the next attempt

Cause: a malformed line ended the attempt by finish, which reports the outcome at once and keeps the connection for the rest of the response. That is right after a last line; after a malformed one the endpoint may go on with the request.

Ruled out: responses that end early, break or time out close their connection in the same turn.

Result: AbandonedResponseTest.aMalformedLineClosesTheConnection, 6 of 6 lines failed before (TimeoutException, the connection was open after 0.8 s) and pass. MalformedResponseTest, MismatchedResponseTest and FragmentedMessagesTest pass unchanged.

--- a/src/main/java/nettlewick/net/endpoint/AttemptExchange.java
+++ b/src/main/java/nettlewick/net/endpoint/AttemptExchange.java
@@ -93,7 +93,7 @@
             JsonFields fields = JsonFields.parse("a line", text);
             if (fields.has("id") && !fields.text("id").equals(attempt.request().id())) {
                 // The line belongs to another request: whether this one ran is unknown, so it counts as failed.
-                finish(AttemptResult.ERROR, null, null);
+                abandon(AttemptResult.ERROR);
                 return;
             }
             EndpointLoad load = fields.has("load") ? LoadReport.fromJson(fields.object("load")) : null;
@@ -108,7 +108,7 @@
                 default -> {}
             }
         } catch (JsonFields.InvalidFieldException e) {
-            finish(AttemptResult.ERROR, null, null);
+            abandon(AttemptResult.ERROR);
         }
     }
 
--- a/src/test/java/nettlewick/net/AbandonedResponseTest.java
+++ b/src/test/java/nettlewick/net/AbandonedResponseTest.java
@@ -10,6 +10,8 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Connections to endpoints are closed as soon as the response on them turns out to be malformed. */
 class AbandonedResponseTest extends ConnectionRaceTestBase {
@@ -47,6 +49,21 @@
         });
     }
 
+    /** Guards against a second copy: the next attempt must not be sent while the endpoint may go on with this one. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "{\"id\":\"a\",\"state\":\"run\n",
+                "no JSON\n",
+                "{\"id\":\"a\"}\n",
+                "{\"id\":\"a\",\"state\":\"done\"}\n",
+                "{\"id\":\"a\",\"state\":\"running\",\"share\":2}\n",
+                "{\"id\":\"another\",\"state\":\"done\",\"result\":\"r\"}\n"
+            })
+    void aMalformedLineClosesTheConnection(String line) throws Exception {
+        assertClosedWithResponse(502, (request, socket) -> RawEndpoint.write(socket, OK + chunk(line)));
+    }
+
     private void assertClosedWithResponse(int expectedStatus, RawEndpoint.Script response) throws Exception {
         try (RawEndpoint endpoint = new RawEndpoint().startAccepting()) {
             platform.addEndpoint("s-1", endpoint.port());
