Client connections: the body of a request is released once it is passed on

Cause: PipelinedRequests forgot the head of a complete request, but kept its body until the connection read the next request. A request in flight was held twice, and an idle connection held a body for up to 60 s.

Change: the body is dropped with the head.

--- a/src/main/java/nettlewick/net/client/PipelinedRequests.java
+++ b/src/main/java/nettlewick/net/client/PipelinedRequests.java
@@ -20,7 +20,7 @@
 
     private final RequestByteBudget budget;
     private final Deque<CompleteRequest> complete = new ArrayDeque<>();
-    /** Head and body of the request being read; the head is null while there is none. */
+    /** Head and body of the request being read; null while there is none. */
     private HttpRequest head;
 
     private ByteBuf body;
@@ -74,6 +74,7 @@
         if (content instanceof LastHttpContent) {
             complete.addLast(new CompleteRequest(head, body, receivedAt.getAsDouble()));
             head = null;
+            body = null;
         }
         return null;
     }
