Core loop: a task that runs out of memory does not end the core thread

Cause: CoreLoop caught RuntimeException only, so the error ended the thread that every final answer comes from, that of the deadline guard too.

Change: tasks and decisions that end in a VirtualMachineError are logged and the loop goes on; the log line is left out if there is no memory for it.

--- a/src/main/java/nettlewick/core/CoreLoop.java
+++ b/src/main/java/nettlewick/core/CoreLoop.java
@@ -88,6 +88,8 @@
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
                 return;
+            } catch (OutOfMemoryError e) {
+                logFailure("iteration-failed", "an iteration of the core thread ran out of memory", e);
             }
         }
     }
@@ -125,8 +127,8 @@
         List<Action> actions;
         try {
             actions = module.handle(ModuleTime.toNanos(nowMillis), events);
-        } catch (RuntimeException e) {
-            LOG.error("module-failed", "decision module failed to handle " + events.size() + " events", e);
+        } catch (RuntimeException | VirtualMachineError e) {
+            logFailure("module-failed", "decision module failed to handle a batch of events", e);
             return;
         }
         for (Action action : actions) {
@@ -134,12 +136,23 @@
         }
     }
 
-    /** Logs exceptions: a failing task must not terminate the core thread, on which all requests depend. */
+    /**
+     * Logs exceptions: a failing task must not terminate the core thread, on which all requests depend. After an
+     * {@link OutOfMemoryError} the deadline guard still answers the requests that the task was to serve.
+     */
     private static void runGuarded(Runnable task) {
         try {
             task.run();
-        } catch (RuntimeException e) {
-            LOG.error("task-failed", "task on the core thread failed", e);
+        } catch (RuntimeException | VirtualMachineError e) {
+            logFailure("task-failed", "task on the core thread failed", e);
+        }
+    }
+
+    private static void logFailure(String event, String message, Throwable failure) {
+        try {
+            LOG.error(event, message, failure);
+        } catch (OutOfMemoryError e) {
+            // Nothing is left to log with.
         }
     }
 
