Replay: requests that must not run twice are left out and counted

Cause: CaptureReplayer submitted every request that it could parse.

Change: ReplayPolicy says until when a captured request may start again: never for a class that must not run twice, within the window of its key for a keyed one, and only where all endpoints know the key, since a capture does not tell where it ran.

--- a/src/main/java/nettlewick/net/client/RequestReader.java
+++ b/src/main/java/nettlewick/net/client/RequestReader.java
@@ -55,6 +55,21 @@
             double costHint,
             boolean clientRetry,
             ForwardedRequest forwarded) {
+        /** The same request with a deadline that is not later than this time, in milliseconds. */
+        public ParsedRequest withDeadlineBy(double latestMillis) {
+            return new ParsedRequest(
+                    id,
+                    requestClass,
+                    tenant,
+                    affinityKey,
+                    Math.min(deadline, latestMillis),
+                    slots,
+                    memory,
+                    costHint,
+                    clientRetry,
+                    forwarded);
+        }
+
         /** The request, with its caller. */
         public Request toRequest(Request.Caller caller) {
             return new Request(
--- a/src/main/java/nettlewick/net/config/PlatformConfig.java
+++ b/src/main/java/nettlewick/net/config/PlatformConfig.java
@@ -13,6 +13,7 @@
 import java.util.Objects;
 import nettlewick.decision.SchedulerSettings;
 import nettlewick.decision.SchedulerSettings.Idempotency;
+import nettlewick.decision.SchedulerSettings.RequestClass;
 import nettlewick.net.discovery.EndpointListSnapshot;
 import nettlewick.net.format.JsonFields;
 import nettlewick.net.format.SocketAddressParser;
@@ -199,13 +200,21 @@
     }
 
     /** Whether a request of this class may run more than once without harm. */
-    public boolean isIdempotentClass(String requestClass) {
-        return settings.classes().stream()
-                .anyMatch(c -> c.name().equals(requestClass) && c.idempotency() == Idempotency.IDEMPOTENT);
+    public boolean isIdempotentClass(String name) {
+        RequestClass requestClass = requestClass(name);
+        return requestClass != null && requestClass.idempotency() == Idempotency.IDEMPOTENT;
     }
 
     /** Whether the settings define this request class. */
     public boolean hasClass(String name) {
-        return settings.classes().stream().anyMatch(c -> c.name().equals(name));
+        return requestClass(name) != null;
+    }
+
+    /** The request class of that name; null if the settings do not define it. */
+    public RequestClass requestClass(String name) {
+        return settings.classes().stream()
+                .filter(c -> c.name().equals(name))
+                .findFirst()
+                .orElse(null);
     }
 }
--- a/src/main/java/nettlewick/pcap/CaptureReplayer.java
+++ b/src/main/java/nettlewick/pcap/CaptureReplayer.java
@@ -24,20 +24,24 @@
     private int servedCount;
     private int rejectedCount;
     private int failedCount;
-    private int skippedCount;
+    private int invalidCount;
+    private int unrepeatableCount;
 
     /**
      * The number of requests by outcome.
      *
-     * @param sent       the number submitted to the core
-     * @param skipped    not submitted, because they are not valid requests to the dispatcher
-     * @param incomplete not submitted, because bytes are missing in the capture or they are malformed
+     * @param sent         the number submitted to the core
+     * @param invalid      not submitted, because they are not valid requests to the dispatcher
+     * @param unrepeatable not submitted, because they may have run and must not run again
+     * @param incomplete   not submitted, because bytes are missing in the capture or they are malformed
      */
-    public record Summary(int sent, int served, int rejected, int failed, int skipped, int incomplete) {
+    public record Summary(
+            int sent, int served, int rejected, int failed, int invalid, int unrepeatable, int incomplete) {
         @Override
         public String toString() {
             return "replayed " + sent + " requests: " + served + " served, " + rejected + " rejected, "
-                    + failed + " failed; skipped " + skipped + " invalid and "
+                    + failed + " failed; skipped " + invalid + " invalid, "
+                    + unrepeatable + " that must not run again and "
                     + incomplete + " incomplete requests";
         }
     }
@@ -87,11 +91,22 @@
     }
 
     private void submitOrSkip(RecordedRequest recorded) {
+        RequestReader.ParsedRequest parsed;
         try {
-            environment.coordinator().submit(parseRequest(recorded).toRequest(new CountingCaller()));
+            parsed = parseRequest(recorded);
         } catch (RequestReader.InvalidRequestException e) {
-            countCompletion(() -> skippedCount++);
+            countCompletion(() -> invalidCount++);
+            return;
+        }
+        double latestStart = ReplayPolicy.latestStartMillis(
+                environment.config().requestClass(parsed.requestClass()),
+                parsed.forwarded().idempotencyKey(),
+                recorded.capturedAtMillis());
+        if (environment.clock().nowMillis() >= latestStart) {
+            countCompletion(() -> unrepeatableCount++);
+            return;
         }
+        environment.coordinator().submit(parsed.withDeadlineBy(latestStart).toRequest(new CountingCaller()));
     }
 
     private RequestReader.ParsedRequest parseRequest(RecordedRequest recorded)
@@ -138,7 +153,13 @@
         if (pendingCount == 0) {
             int sent = servedCount + rejectedCount + failedCount;
             summaryPromise.tryComplete(new Summary(
-                    sent, servedCount, rejectedCount, failedCount, skippedCount, capture.incompleteCount()));
+                    sent,
+                    servedCount,
+                    rejectedCount,
+                    failedCount,
+                    invalidCount,
+                    unrepeatableCount,
+                    capture.incompleteCount()));
         }
     }
 }
