Client connections: a request has at most 100 header fields

Cause: a head was limited in bytes, not in fields; a field of 4 bytes takes some 150 once decoded. An unfinished head and trailers are decoded field by field too.

--- a/src/test/java/nettlewick/net/client/ClientConnectionTest.java
+++ b/src/test/java/nettlewick/net/client/ClientConnectionTest.java
@@ -92,6 +92,36 @@
         assertTrue(responses().startsWith("HTTP/1.1 400 "));
     }
 
+    /** Guards against heads of very many short fields, which take far more memory than bytes. */
+    @Test
+    void rejectsAHeadWithTooManyFieldsBeforeItEnds() {
+        send("GET /a HTTP/1.1\r\n" + "a:\r\n".repeat(StrictHttpDecoder.MAX_HEADER_FIELDS));
+        assertEquals("", responses());
+        send("a:\r\na:\r\n");
+        assertEquals(List.of(), passedRequests());
+        assertTrue(responses().startsWith("HTTP/1.1 431 "));
+    }
+
+    /** Guards against trailers of very many short fields. */
+    @Test
+    void rejectsTrailersWithTooManyFieldsBeforeTheyEnd() {
+        send("POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n"
+                + "a:\r\n".repeat(StrictHttpDecoder.MAX_HEADER_FIELDS + 1));
+        assertEquals(List.of(), passedRequests());
+        assertTrue(responses().startsWith("HTTP/1.1 431 "));
+    }
+
+    /** Each request of a connection may have that many fields. */
+    @Test
+    void acceptsAsManyFieldsAsAreAllowedInEachRequest() {
+        String request = "GET /a HTTP/1.1\r\n" + "a:\r\n".repeat(StrictHttpDecoder.MAX_HEADER_FIELDS) + "\r\n";
+        for (int i = 0; i < 3; i++) {
+            send(request);
+            assertEquals(List.of("/a", ""), passedRequests());
+            respond();
+        }
+    }
+
     /** Guards against a rejection without a Retry-After header. */
     @ParameterizedTest
     @ValueSource(ints = {429, 503})
