Client connections: an answered request is released while its result waits

Cause: the server keeps a request until its response is written, and with it the handlers that had read the body; the handler for a client that leaves referred to the request as well.

Change: the reader takes its handlers off when the body has come, and a client that leaves abandons its request by id and caller.

Result: ServedRequestReleaseTest.aRequestIsReleasedWhileItsResultWaitsForTheEventLoop failed before and passes; the tests of the coordinator, the server and the event streams pass unchanged.

--- a/src/main/java/nettlewick/core/RequestCoordinator.java
+++ b/src/main/java/nettlewick/core/RequestCoordinator.java
@@ -115,9 +115,14 @@
 
     /** Abandons a request whose client has disconnected; its caller gets no answer. */
     public void abandon(Request request) {
+        abandon(request.id(), request.caller());
+    }
+
+    /** Abandons the request of this caller, who need not keep the request in memory for it. */
+    public void abandon(String id, Request.Caller caller) {
         loop.post(() -> {
-            InFlightRequest inFlight = table.get(request.id());
-            if (inFlight != null && inFlight.request() == request) {
+            InFlightRequest inFlight = table.get(id);
+            if (inFlight != null && inFlight.request().caller() == caller) {
                 answers.abandon(inFlight);
             }
         });
--- a/src/main/java/nettlewick/net/client/PlatformFrontend.java
+++ b/src/main/java/nettlewick/net/client/PlatformFrontend.java
@@ -83,7 +83,7 @@
         HttpServerResponse response = http.response();
         trafficListener.requestReceived(http, parsed.forwarded().body());
         Metrics.RequestTracker tracker = coordinator.metrics().trackRequest(parsed.requestClass());
-        Request request = parsed.toRequest(new Request.Caller() {
+        Request.Caller caller = new Request.Caller() {
             @Override
             public boolean isPresent() {
                 return !response.closed() && isClientConnected(http) && !response.closed();
@@ -113,12 +113,14 @@
             public void onFailed(String reason) {
                 eventLoop.runOnContext(v -> respond(http, 502, Buffer.buffer(reason + "\n"), tracker));
             }
-        });
+        };
+        // Only the id: the response keeps this handler, which would keep the body of an answered request.
+        String id = parsed.id();
         response.closeHandler(v -> {
             tracker.markAbandoned();
-            coordinator.abandon(request);
+            coordinator.abandon(id, caller);
         });
-        coordinator.submit(request);
+        coordinator.submit(parsed.toRequest(caller));
     }
 
     static String formatSeconds(double millis) {
--- a/src/main/java/nettlewick/net/client/RequestReader.java
+++ b/src/main/java/nettlewick/net/client/RequestReader.java
@@ -120,6 +120,9 @@
         request.exceptionHandler(e -> {});
         request.handler(body::appendBuffer);
         request.endHandler(v -> {
+            // The server keeps the request, and with it these handlers, until its response is written.
+            request.handler(null);
+            request.endHandler(null);
             try {
                 consumer.handle(parse(request.method(), request.uri(), request.headers(), body, receivedAtMillis));
             } catch (InvalidRequestException e) {
--- a/src/test/java/nettlewick/net/ServedRequestReleaseTest.java
+++ b/src/test/java/nettlewick/net/ServedRequestReleaseTest.java
@@ -7,6 +7,7 @@
 
 import java.lang.ref.WeakReference;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import nettlewick.core.Request;
 import nettlewick.core.UsageRecorder.DeliveryCallback;
@@ -47,6 +48,41 @@
         }
     }
 
+    /** Guards against a heap that holds both the body and the result of each request whose result waits to be written. */
+    @Test
+    void aRequestIsReleasedWhileItsResultWaitsForTheEventLoop() throws Exception {
+        CountDownLatch eventLoopMayGoOn = new CountDownLatch(1);
+        CountDownLatch recorded = new CountDownLatch(1);
+        platform.usageRecorder = (finished, release) -> {
+            served = new WeakReference<>(finished.request());
+            platform.dispatcher().eventLoop().runOnContext(v -> awaitUninterruptibly(eventLoopMayGoOn));
+            release.accept(DeliveryCallback.NONE);
+            recorded.countDown();
+            return null;
+        };
+        try (RawEndpoint endpoint = new RawEndpoint().startAccepting()) {
+            platform.addEndpoint("s-1", endpoint.port());
+            try (RawClient client = new RawClient(start())) {
+                client.send(requestBytes("/api", "a", "step-view", "{}"));
+                assertTrue(recorded.await(10, TimeUnit.SECONDS), "the request was not served");
+                boolean released = isReleased();
+                eventLoopMayGoOn.countDown();
+                assertTrue(released, "the request is still in memory");
+                assertEquals(200, client.read().status());
+            } finally {
+                eventLoopMayGoOn.countDown();
+            }
+        }
+    }
+
+    private static void awaitUninterruptibly(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     /** Schedules the check on the event loop, ahead of any timer that the next request starts for a longer time. */
     private CompletableFuture<Boolean> scheduleCheck() throws Exception {
         CompletableFuture<Void> scheduled = new CompletableFuture<>();
