Client connections: slow requests make way for others when bytes run out

Cause: unfinished requests of all clients had 4 MiB together, and whoever exceeded them was rejected, which spares the slow ones.

Change: one budget of a third of the heap for unfinished, waiting and in-flight requests; when it is exceeded, the unfinished request that began first is rejected.

A test was wrong: ClientConnectionTest.limitsBufferedBytesAcrossAllClients expected the newcomer to be rejected and the slow client to be spared. Its replacement checks in the same detail that the slow one is rejected and the newcomer served.

--- a/src/main/java/nettlewick/net/client/ClientConnection.java
+++ b/src/main/java/nettlewick/net/client/ClientConnection.java
@@ -92,7 +92,7 @@
         this.clock = clock;
         this.sendsRetryAfter = sendsRetryAfter;
         this.receivedAt = receivedAt;
-        requests = new PipelinedRequests(budget);
+        requests = new PipelinedRequests(budget, () -> reject(503, "the request came too slowly"));
         state = new ClientConnectionState(clock.nowMillis(), outputTimeouts);
     }
 
@@ -239,6 +239,7 @@
 
     /** A response that is not the last one is written: the next request may start. */
     private void responseWritten(ChannelHandlerContext ctx) {
+        requests.answered();
         state.responseWritten(clock.nowMillis(), resultSent);
         if (rejection != null) {
             writeRejection();
--- a/src/main/java/nettlewick/net/client/HttpFrontend.java
+++ b/src/main/java/nettlewick/net/client/HttpFrontend.java
@@ -26,8 +26,8 @@
     private static final int ACCEPT_BACKLOG = 1024;
     private static final int MAX_HEADER_BYTES = 8 * 1024;
     private static final int MAX_LINE_BYTES = 4 * 1024;
-    /** Bytes of unfinished requests buffered for all clients of a frontend together. */
-    private static final long MAX_BUFFERED_BYTES = 4 << 20;
+    /** The requests of all clients of a frontend use one part in this many of the heap; results and all else the rest. */
+    private static final long HEAP_DIVISOR = 3;
     /** Most bytes read from one client in an iteration of the event loop. */
     private static final int MAX_READ_BYTES = 16 * 1024;
 
@@ -46,7 +46,8 @@
     private final long connectionCheckTimer;
     private final long tickTimer;
     private final EventLoopTicks ticks;
-    private final RequestByteBudget budget = new RequestByteBudget(MAX_BUFFERED_BYTES);
+    private final RequestByteBudget budget =
+            new RequestByteBudget(Runtime.getRuntime().maxMemory() / HEAP_DIVISOR);
     private final Map<HttpConnection, ClientConnection> connections = new LinkedHashMap<>();
 
     /**
--- a/src/test/java/nettlewick/net/client/ClientConnectionTest.java
+++ b/src/test/java/nettlewick/net/client/ClientConnectionTest.java
@@ -340,22 +340,66 @@
                 responses);
     }
 
-    @Test
-    void limitsBufferedBytesAcrossAllClients() {
-        RequestByteBudget budget = new RequestByteBudget(10);
-        List<EmbeddedChannel> channels = new ArrayList<>();
-        for (int i = 0; i < 2; i++) {
-            channels.add(new EmbeddedChannel(
-                    new StrictHttpDecoder(new HttpServerOptions(), () -> {}),
-                    new HttpResponseEncoder(),
-                    new ClientConnection(clock, budget)));
-            channels.get(i)
-                    .writeInbound(Unpooled.copiedBuffer(
-                            "POST /a HTTP/1.1\r\nContent-Length: 9\r\n\r\n12345678", StandardCharsets.US_ASCII));
-        }
-        assertNull(channels.get(0).readOutbound());
-        assertTrue(((ByteBuf) channels.get(1).readOutbound())
+    /** Another connection with this budget. */
+    private EmbeddedChannel openChannel(RequestByteBudget budget) {
+        ClientConnection client = new ClientConnection(clock, budget);
+        return new EmbeddedChannel(
+                new StrictHttpDecoder(new HttpServerOptions(), client::bytesReceived),
+                new HttpResponseEncoder(),
+                client);
+    }
+
+    private static void sendBody(EmbeddedChannel target, String body) {
+        target.writeInbound(Unpooled.copiedBuffer(
+                "POST /a HTTP/1.1\r\nContent-Length: 9\r\n\r\n" + body, StandardCharsets.US_ASCII));
+    }
+
+    private static void assertRejected(EmbeddedChannel target) {
+        assertTrue(((ByteBuf) target.readOutbound())
                 .toString(StandardCharsets.US_ASCII)
                 .contains(" 503 "));
+        assertNull(target.readInbound());
+    }
+
+    /** Guards against clients that stop half way through their requests and so keep others from being served. */
+    @Test
+    void rejectsTheOldestUnfinishedRequestWhenTheBytesOfAllClientsExceedTheBudget() {
+        RequestByteBudget budget = new RequestByteBudget(10);
+        EmbeddedChannel slow = openChannel(budget);
+        EmbeddedChannel sound = openChannel(budget);
+        sendBody(slow, "12345678");
+        assertNull(slow.readOutbound());
+        sendBody(sound, "123456789");
+        assertRejected(slow);
+        assertNull(sound.readOutbound());
+        assertEquals("/a", ((HttpRequest) sound.readInbound()).uri());
+    }
+
+    /** Guards against more requests in flight than the heap holds. */
+    @Test
+    void countsRequestsInFlightUntilTheyAreAnswered() {
+        RequestByteBudget budget = new RequestByteBudget(10);
+        EmbeddedChannel answering = openChannel(budget);
+        sendBody(answering, "123456789");
+        assertEquals("/a", ((HttpRequest) answering.readInbound()).uri());
+        EmbeddedChannel tooEarly = openChannel(budget);
+        sendBody(tooEarly, "123456789");
+        assertRejected(tooEarly);
+        answering.writeOutbound(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK));
+        EmbeddedChannel afterwards = openChannel(budget);
+        sendBody(afterwards, "123456789");
+        assertEquals("/a", ((HttpRequest) afterwards.readInbound()).uri());
+    }
+
+    /** Guards against bytes that stay counted when the client of an unfinished request leaves. */
+    @Test
+    void returnsTheBytesOfAClientThatLeaves() {
+        RequestByteBudget budget = new RequestByteBudget(10);
+        EmbeddedChannel leaving = openChannel(budget);
+        sendBody(leaving, "12345678");
+        leaving.close();
+        EmbeddedChannel remaining = openChannel(budget);
+        sendBody(remaining, "123456789");
+        assertEquals("/a", ((HttpRequest) remaining.readInbound()).uri());
     }
 }
--- a/src/test/java/nettlewick/net/client/PipelinedRequestsTest.java
+++ b/src/test/java/nettlewick/net/client/PipelinedRequestsTest.java
@@ -19,7 +19,7 @@
     private static final int MAX_COLLECTIONS = 50;
     private static final long COLLECTION_PAUSE_MILLIS = 10;
 
-    private final PipelinedRequests requests = new PipelinedRequests(new RequestByteBudget(BODY.length));
+    private final PipelinedRequests requests = new PipelinedRequests(new RequestByteBudget(BODY.length), () -> {});
 
     /** Guards against a heap full of the bodies of requests that connections have passed on. */
     @Test
