Hot restart: an id that one process has accepted is refused by the other

Cause: a process refuses the ids that it has accepted itself, and knew nothing of the other's.

Change: a process writes a hash of each id that must not run freely again to its own file in the shared folder, then looks for it in the others' files. In this order two processes that get an id at once cannot both accept it.

--- a/src/main/java/nettlewick/core/RequestCoordinator.java
+++ b/src/main/java/nettlewick/core/RequestCoordinator.java
@@ -87,6 +87,11 @@
         listener.replace(newListener);
     }
 
+    /** Sets what other processes have accepted; must be called before the core thread starts. */
+    public void setAcceptedIds(AcceptedIds acceptedIds) {
+        intake.setAcceptedIds(acceptedIds);
+    }
+
     /** Metrics for operators. */
     public Metrics metrics() {
         return metrics;
--- a/src/main/java/nettlewick/core/RequestIntake.java
+++ b/src/main/java/nettlewick/core/RequestIntake.java
@@ -1,10 +1,13 @@
 package nettlewick.core;
 
 import nettlewick.decision.SchedulerSettings;
+import nettlewick.decision.SchedulerSettings.Idempotency;
 import nettlewick.decision.SchedulerSettings.RequestClass;
 
 /** Accepts requests and immediately answers those that cannot be accepted. Core thread only. */
 final class RequestIntake {
+    private static final String ID_TAKEN = "the id of a request that was taken before";
+
     private final CoreLoop loop;
     private final InFlightTable table;
     private final FinalAnswers answers;
@@ -13,6 +16,7 @@
     private final RequestListener listener;
     private final SchedulerSettings settings;
     private final RetryAdvice retryAdvice;
+    private AcceptedIds acceptedIds = AcceptedIds.NONE;
 
     RequestIntake(
             CoreLoop loop,
@@ -33,16 +37,22 @@
         this.retryAdvice = retryAdvice;
     }
 
+    void setAcceptedIds(AcceptedIds acceptedIds) {
+        this.acceptedIds = acceptedIds;
+    }
+
     void accept(Request request) {
         if (table.isKnownId(request.id())) {
             // The module accepts an id only once, so a duplicate of a request in flight would never be answered. A
             // duplicate of a finished request might be executed twice.
-            answers.failUnaccepted(request, "the id of a request that was taken before");
+            answers.failUnaccepted(request, ID_TAKEN);
         } else if (table.isFull()) {
             answers.rejectUnaccepted(request, retryAdvice.whileFull());
         } else if (request.deadlineMillis() <= loop.nowMillis()) {
             // The deadline passed on the client connection or in the queue; nothing was sent, so a retry is safe.
             answers.rejectUnaccepted(request, retryAdvice.atOtherDispatcher());
+        } else if (!claimId(request)) {
+            answers.failUnaccepted(request, ID_TAKEN);
         } else {
             InFlightRequest inFlight = table.add(request, classOf(request));
             listener.onRequestAccepted(request);
@@ -51,6 +61,11 @@
         }
     }
 
+    /** Whether no other process may send this request to an endpoint, where that would matter. */
+    private boolean claimId(Request request) {
+        return classOf(request).idempotency() == Idempotency.IDEMPOTENT || acceptedIds.claim(request.id());
+    }
+
     /** Throws for an unknown request class; frontends do not accept such requests. */
     private RequestClass classOf(Request request) {
         return settings.classes().stream()
--- a/src/main/java/nettlewick/net/DispatcherServer.java
+++ b/src/main/java/nettlewick/net/DispatcherServer.java
@@ -175,6 +175,7 @@
         requestListener.onAttached(coordinator);
         endpointPools.bind(coordinator);
         if (hotRestart != null) {
+            coordinator.setAcceptedIds(hotRestart.acceptedIds()::claim);
             handover = new HotRestartHandover(
                     vertx,
                     eventLoop,
--- a/src/main/java/nettlewick/net/lifecycle/HotRestart.java
+++ b/src/main/java/nettlewick/net/lifecycle/HotRestart.java
@@ -21,7 +21,7 @@
  * file; the kernel releases it however the process ends. Safe for any thread.
  */
 public final class HotRestart implements AutoCloseable {
-    private static final String ALIVE_SUFFIX = ".alive";
+    static final String ALIVE_SUFFIX = ".alive";
     private static final byte[] IDLE_MARK = "nothing to save\n".getBytes(StandardCharsets.US_ASCII);
     private static final byte[] SERVING_MARK = "takes clients\n".getBytes(StandardCharsets.US_ASCII);
 
@@ -29,6 +29,7 @@
     private final String prefix;
     private final String ownName;
     private final FileChannel channel;
+    private final AcceptedIdLog acceptedIds;
 
     /** Another live process of this dispatcher. */
     private record OtherProcess(String name, boolean serving, boolean idle) {}
@@ -44,14 +45,16 @@
     public HotRestart(Path folder, String dispatcher, long startedAt) {
         this.folder = folder;
         prefix = dispatcher.replaceAll("[^A-Za-z0-9.]", "_") + '-';
-        ownName = String.format(
-                "%s%013d-%d%s", prefix, startedAt, ProcessHandle.current().pid(), ALIVE_SUFFIX);
+        String processName = String.format(
+                "%s%013d-%d", prefix, startedAt, ProcessHandle.current().pid());
+        ownName = processName + ALIVE_SUFFIX;
         try {
             // Locked before it gets its name: an unlocked file would be taken for that of a dead process and deleted.
             Path unnamedFile = Files.createTempFile(folder, "nettlewick", ".new");
             channel = FileChannel.open(unnamedFile, StandardOpenOption.WRITE);
             channel.lock();
             Files.move(unnamedFile, folder.resolve(ownName), StandardCopyOption.ATOMIC_MOVE);
+            acceptedIds = new AcceptedIdLog(folder, prefix, processName);
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
@@ -62,6 +65,11 @@
         return folder.resolve(prefix + name);
     }
 
+    /** The ids of the requests that the processes of this dispatcher have accepted; for one thread. */
+    public AcceptedIdLog acceptedIds() {
+        return acceptedIds;
+    }
+
     /** Announces that this process accepts clients. */
     public void markServing() {
         try {
@@ -163,6 +171,7 @@
         try {
             Files.deleteIfExists(folder.resolve(ownName));
             channel.close();
+            acceptedIds.close();
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
--- a/src/test/java/nettlewick/net/HotRestartTest.java
+++ b/src/test/java/nettlewick/net/HotRestartTest.java
@@ -118,4 +118,56 @@
             awaitResult(successor.close());
         }
     }
+
+    /** Guards against a request that runs once in each process, because its client left one and came to the other. */
+    @Test
+    void aRequestWhoseClientLeftThePredecessorIsNotRunByTheSuccessor(@TempDir Path dir) throws Exception {
+        try (DispatcherOnStubPlatform platform = new DispatcherOnStubPlatform();
+                RawEndpoint endpoint = new RawEndpoint().startAccepting()) {
+            platform.addEndpoint("s-1", endpoint.port());
+            DispatcherServer predecessor = startOnPortOfItsOwn(platform, new HotRestart(dir, "n0", 1));
+            endpoint.script = (request, socket) -> {};
+            try (RawClient client = new RawClient(predecessor.ports().get(0))) {
+                client.send(requestBytes("/api", "a", "mark-submit", ""));
+                waitUntil(() -> endpoint.receivedIds().contains("a"));
+            }
+            DispatcherServer successor = startOnPortOfItsOwn(platform, new HotRestart(dir, "n0", 2));
+            endpoint.script = (request, socket) -> RawEndpoint.write(socket, RawEndpoint.servedResponse(request.id()));
+            try (RawClient client = new RawClient(successor.ports().get(0))) {
+                int status = client.send(requestBytes("/api", "a", "mark-submit", ""))
+                        .read()
+                        .status();
+                assertEquals(502, status);
+                // A request that may run again is served by either process.
+                String repeatable = client.send(requestBytes("/api", "a", "step-view", ""))
+                        .read()
+                        .body();
+                assertEquals("r-a", repeatable);
+            }
+            assertEquals(
+                    1,
+                    endpoint.received.stream()
+                            .filter(request -> request.head().contains("X-Class: mark-submit"))
+                            .count());
+            awaitResult(predecessor.close());
+            awaitResult(successor.close());
+        }
+    }
+
+    private static DispatcherServer startOnPortOfItsOwn(DispatcherOnStubPlatform platform, HotRestart hotRestart)
+            throws Exception {
+        Map<String, Object> fields = platform.config();
+        int port = freePort();
+        fields.put("listen", "127.0.0.1:" + port);
+        fields.put("peer_listen", "127.0.0.1:" + port);
+        fields.put("peers", java.util.List.of("127.0.0.1:" + port, "127.0.0.1:1"));
+        DispatcherServer server = new DispatcherServer(
+                PlatformConfig.parse(new Gson().toJson(fields), Map.of()),
+                Clock.system(),
+                hotRestart,
+                PlatformFrontend::new);
+        awaitResult(server.start());
+        waitUntil(() -> ConnectionRaceTestBase.isHealthy(port));
+        return server;
+    }
 }
