Client connections: a close behind unread bytes is seen before a request is sent

Cause: a close is read after the bytes before it, and isConnected read 64 KiB at most, or nothing where too much had been discarded.

Change: the socket is read until nothing more comes, within 512 reads of 16 KiB, which empty the largest buffer of a socket.

--- a/src/main/java/nettlewick/net/client/ClientConnection.java
+++ b/src/main/java/nettlewick/net/client/ClientConnection.java
@@ -36,8 +36,8 @@
 final class ClientConnection extends ChannelDuplexHandler {
     /** Complete requests that may wait behind the one in flight. */
     private static final int MAX_PIPELINED_REQUESTS = 4;
-    /** A close is read after the bytes sent before it: one read for those, one for the close. */
-    private static final int READS_TO_DETECT_CLOSE = 2;
+    /** A close is read after the bytes sent before it; so many reads empty the largest buffer of a socket. */
+    private static final int MAX_READS_TO_DETECT_CLOSE = 512;
     /** The response to a complete request that precedes a rejected one; harmless to repeat. */
     private static final FramingValidator.Rejection PRECEDES_REJECTED =
             new FramingValidator.Rejection(429, "what came behind it is refused");
@@ -66,6 +66,9 @@
     private FramingValidator.Rejection rejection;
 
     private double arrivedAt;
+    /** Whether bytes have arrived since this was last reset. */
+    private boolean hasReceivedBytes;
+
     private boolean isPostRequest;
     private boolean resultSent;
     private boolean closeAfterResponse;
@@ -107,6 +110,7 @@
 
     /** Called for any bytes that arrive. */
     void bytesReceived() {
+        hasReceivedBytes = true;
         state.bytesReceived(clock.nowMillis());
     }
 
@@ -129,6 +133,7 @@
     }
 
     private void discard(Object message) {
+        hasReceivedBytes = true;
         discardedBytes += message instanceof ByteBuf bytes
                 ? bytes.readableBytes()
                 : message instanceof ByteBufHolder holder ? holder.content().readableBytes() : 0;
@@ -172,16 +177,22 @@
      */
     boolean isConnected() {
         Channel channel = context.channel();
+        if (channel.unsafe() instanceof AbstractNioChannel.NioUnsafe unsafe) {
+            readUnreadBytes(unsafe);
+        }
+        return channel.isActive();
+    }
+
+    private void readUnreadBytes(AbstractNioChannel.NioUnsafe unsafe) {
+        hasReceivedBytes = true;
         for (int i = 0;
-                i < READS_TO_DETECT_CLOSE
-                        && channel.isActive()
-                        && channel.config().isAutoRead();
+                i < MAX_READS_TO_DETECT_CLOSE
+                        && hasReceivedBytes
+                        && context.channel().isActive();
                 i++) {
-            if (channel.unsafe() instanceof AbstractNioChannel.NioUnsafe unsafe) {
-                unsafe.read();
-            }
+            hasReceivedBytes = false;
+            unsafe.read();
         }
-        return channel.isActive();
     }
 
     /**
--- a/src/test/java/nettlewick/net/ClientConnectionCloseTest.java
+++ b/src/test/java/nettlewick/net/ClientConnectionCloseTest.java
@@ -18,6 +18,10 @@
  * The close of a client connection, and what arrives at the same time: pipelined requests, garbage, floods, signals.
  */
 class ClientConnectionCloseTest extends ConnectionRaceTestBase {
+    private static final int LARGE_BODY_BYTES = 60_000;
+    private static final int PIPELINED_REQUESTS = 4;
+    private static final int ROUNDS_OF_DEPARTED_CLIENTS = 10;
+
     /** Guards against rejecting a forwarded request because of the garbage that follows it. */
     @Test
     void answersTheRequestInFlightBeforeRejectingGarbageBehindIt() throws Exception {
@@ -84,6 +88,26 @@
         waitUntil(() -> !platform.dispatcher().frontends().get(0).hasConnections());
     }
 
+    /** Guards against forwarding the request of a client whose close is behind large requests that are not read yet. */
+    @Test
+    void noticesThatAClientHasLeftBehindUnreadRequestsBeforeItForwardsTheFirst() throws Exception {
+        platform.addEndpoint("s-1");
+        int port = start();
+        String body = "x".repeat(LARGE_BODY_BYTES);
+        for (int round = 0; round < ROUNDS_OF_DEPARTED_CLIENTS; round++) {
+            BlockedEventLoop loop = new BlockedEventLoop(platform.dispatcher());
+            try (RawClient client = new RawClient(port)) {
+                for (int i = 0; i < PIPELINED_REQUESTS; i++) {
+                    client.send(requestBytes("/api", "r" + round + "-" + i, "mark-submit", body));
+                }
+            }
+            loop.release();
+            awaitEventLoop(port);
+            waitUntil(() -> !platform.dispatcher().frontends().get(0).hasConnections());
+        }
+        assertEquals(0, platform.receivedRequests.size(), "requests of clients that had left");
+    }
+
     /**
      * Guards against closing a socket with unread bytes, which resets the connection and destroys the response just
      * written. The clock is stopped, so that the lingering close does not time out.
