Core: ids of requests that must not run twice are not displaced by others

Cause: the ids of all finished requests shared one list of 10,000.

Change: requests that may run again and all others have a list each.

Result: FinalAnswerTest.theIdOfANonIdempotentRequestIsNotDisplacedByOtherRequests fails with one list and passes with two.

--- a/src/main/java/nettlewick/core/InFlightRequest.java
+++ b/src/main/java/nettlewick/core/InFlightRequest.java
@@ -81,7 +81,12 @@
 
     /** Whether rejecting the request carries no risk that a retry repeats its effects. */
     boolean isSafeToReject() {
-        return attempts.stream().noneMatch(Attempt::mayHaveRun) || requestClass.idempotency() == Idempotency.IDEMPOTENT;
+        return attempts.stream().noneMatch(Attempt::mayHaveRun) || isIdempotent();
+    }
+
+    /** Whether the request may run more than once without harm. */
+    boolean isIdempotent() {
+        return requestClass.idempotency() == Idempotency.IDEMPOTENT;
     }
 
     /**
--- a/src/main/java/nettlewick/core/InFlightTable.java
+++ b/src/main/java/nettlewick/core/InFlightTable.java
@@ -9,13 +9,15 @@
 
 /** Requests in flight, ids of recently finished requests, and the limit on unanswered requests. Core thread only. */
 final class InFlightTable {
-    /** Covers a few minutes of traffic. */
-    private static final int MAX_FINISHED_IDS = 10_000;
+    /** Covers a few minutes of traffic; for requests that may run again and for all others each. */
+    static final int MAX_FINISHED_IDS = 10_000;
 
     /** In the order of their arrival. */
     private final Map<String, InFlightRequest> requests = new LinkedHashMap<>();
-    /** Oldest first. */
-    private final Set<String> finishedIds = new LinkedHashSet<>();
+    /** Ids of requests that may run again, the oldest first. */
+    private final Set<String> finishedIdempotentIds = new LinkedHashSet<>();
+    /** Ids of requests that must not run again; apart, so that no number of other requests displaces them. */
+    private final Set<String> finishedOtherIds = new LinkedHashSet<>();
 
     private int maxUnanswered;
     private int unansweredCount;
@@ -39,7 +41,7 @@
 
     /** Whether the id belongs to a request in flight or to a recently finished one. */
     boolean isKnownId(String id) {
-        return requests.containsKey(id) || finishedIds.contains(id);
+        return requests.containsKey(id) || finishedIdempotentIds.contains(id) || finishedOtherIds.contains(id);
     }
 
     InFlightRequest add(Request request, RequestClass requestClass) {
@@ -71,6 +73,7 @@
     /** Removes the request if it is answered and has no attempt in flight, and remembers its id. */
     void removeIfFinished(InFlightRequest inFlight) {
         if (inFlight.isAnswered() && !inFlight.hasAttemptInFlight() && requests.remove(inFlight.id(), inFlight)) {
+            Set<String> finishedIds = inFlight.isIdempotent() ? finishedIdempotentIds : finishedOtherIds;
             finishedIds.add(inFlight.id());
             if (finishedIds.size() > MAX_FINISHED_IDS) {
                 finishedIds.remove(finishedIds.iterator().next());
--- a/src/test/java/nettlewick/core/FinalAnswerTest.java
+++ b/src/test/java/nettlewick/core/FinalAnswerTest.java
@@ -150,4 +150,32 @@
         advanceTo(200);
         assertEquals(List.of(), sideEffects);
     }
+
+    /** Guards against a second run of a request after so many others that its id is forgotten. */
+    @Test
+    void theIdOfANonIdempotentRequestIsNotDisplacedByOtherRequests() throws InterruptedException {
+        script = e -> e instanceof Arrival a ? List.of(new Dispatch(a.id(), "w", 0)) : List.of();
+        coordinator.abandon(submitNonIdempotent("once", 10_000));
+        advanceTo(1);
+        script = e -> e instanceof Arrival a ? List.of(new Reject(a.id(), 0)) : List.of();
+        for (int i = 0; i <= InFlightTable.MAX_FINISHED_IDS; i++) {
+            submit("other" + i, 10_000);
+            advanceTo(2);
+        }
+        sideEffects.clear();
+        submitNonIdempotent("once", 10_000);
+        advanceTo(3);
+        assertEquals(List.of("failed once"), sideEffects);
+    }
+
+    /** Guards against a request that another process of this dispatcher has accepted and that must not run twice. */
+    @Test
+    void aNonIdempotentRequestThatAnotherProcessHasAcceptedIsFailedUnsent() throws InterruptedException {
+        coordinator.setAcceptedIds(id -> !id.startsWith("elsewhere"));
+        script = e -> e instanceof Arrival a ? List.of(new Dispatch(a.id(), "w", 0)) : List.of();
+        submitNonIdempotent("elsewhere", 10_000);
+        submit("elsewhere-but-repeatable", 10_000);
+        advanceTo(1);
+        assertEquals(List.of("failed elsewhere", "send elsewhere-but-repeatable0"), sideEffects);
+    }
 }
