Tests: the endpoint of SlowStreamReaderTest responds once both clients are attached

Cause: openUnreadStream sent the request on one connection and attached a second client afterwards. The endpoint responded at once, so the stream could be over, and with keep-streams 0 forgotten, before the second client came; that one got `failed`, as it should.

The test was wrong, not the product. Its replacement has the same parameters and assertions; the endpoint responds after both clients have got the beginning of the stream. Of the unread connection that beginning, and nothing else, is read.

--- a/src/test/java/nettlewick/sse/SlowStreamReaderTest.java
+++ b/src/test/java/nettlewick/sse/SlowStreamReaderTest.java
@@ -1,11 +1,13 @@
 package nettlewick.sse;
 
 import static nettlewick.net.DispatcherOnStubPlatform.requestBytes;
+import static nettlewick.net.DispatcherOnStubPlatform.waitUntil;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpServerRequest;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetSocketAddress;
@@ -13,6 +15,7 @@
 import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import nettlewick.core.Clock;
 import nettlewick.net.DispatcherOnStubPlatform;
@@ -30,6 +33,8 @@
     private static final int RECEIVE_BUFFER_BYTES = 2048;
     private static final int READ_TIMEOUT_MILLIS = 10_000;
     private static final String END_OF_RESPONSE = "0\r\n\r\n";
+    /** The block that a stream starts with, so that its client can reconnect. */
+    private static final String BEGINNING_OF_STREAM = "id: 0\n\n";
 
     /** Characters of a result that is larger than what the socket and the write queue hold. */
     private static final int LARGE_RESULT = 120_000;
@@ -61,28 +66,48 @@
         platform.close();
     }
 
-    /** Opens a connection with a small receive buffer on which nothing is read, and waits for the stream's end. */
+    /**
+     * Opens a connection with a small receive buffer on which nothing is read but the beginning of the stream, and waits
+     * for the stream's end. The endpoint responds only when this client and the one that watches for the end are both
+     * attached: the second of them could otherwise come after the end of a stream that is not retained.
+     */
     private Socket openUnreadStream(int progressLines, int resultLength) throws Exception {
-        platform.requestOverride = request -> {
-            request.response().setChunked(true);
-            for (int i = 0; i < progressLines; i++) {
-                request.response().write("{\"state\":\"running\",\"share\":0.25}\n");
-            }
-            request.response().end("{\"state\":\"done\",\"result\":\"" + "x".repeat(resultLength) + "\"}\n");
-        };
+        CompletableFuture<HttpServerRequest> received = new CompletableFuture<>();
+        platform.requestOverride = received::complete;
         Socket socket = new Socket();
         socket.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
         socket.setSoTimeout(READ_TIMEOUT_MILLIS);
         socket.connect(new InetSocketAddress("127.0.0.1", port));
         socket.getOutputStream()
                 .write(requestBytes("/api", "s", "step-view", "").getBytes());
+        readBeginningOfStream(socket);
         EventStreamClient other = new EventStreamClient(platform.vertx, port, "s", "step-view");
         other.post(httpClient);
+        waitUntil(() -> other.rawText.contains(BEGINNING_OF_STREAM));
+        HttpServerRequest request = received.get(10, TimeUnit.SECONDS);
+        platform.vertx.runOnContext(v -> respond(request, progressLines, resultLength));
         other.ended.get(10, TimeUnit.SECONDS);
         assertEquals("result", other.lastEvent().name());
         return socket;
     }
 
+    private static void respond(HttpServerRequest request, int progressLines, int resultLength) {
+        request.response().setChunked(true);
+        for (int i = 0; i < progressLines; i++) {
+            request.response().write("{\"state\":\"running\",\"share\":0.25}\n");
+        }
+        request.response().end("{\"state\":\"done\",\"result\":\"" + "x".repeat(resultLength) + "\"}\n");
+    }
+
+    private static void readBeginningOfStream(Socket socket) throws IOException {
+        StringBuilder text = new StringBuilder();
+        while (text.indexOf(BEGINNING_OF_STREAM) < 0) {
+            int b = socket.getInputStream().read();
+            assertTrue(b >= 0, "the stream did not begin: " + text);
+            text.append((char) b);
+        }
+    }
+
     /** Advances the clock and waits until the frontend has checked its connections at the new time. */
     private void advanceTo(double millis) throws Exception {
         try (Socket idle = new Socket("127.0.0.1", port)) {
