--- a/src/test/java/nettlewick/pcap/CaptureTest.java
+++ b/src/test/java/nettlewick/pcap/CaptureTest.java
@@ -153,6 +153,42 @@
         assertEquals(List.of("/api?n=1", "/api?n=2"), uris(read(fileBuilder.bytes())));
     }
 
+    /** Guards against leaving out requests whose first line is split across segments. */
+    @Test
+    void aRequestIsReadWhereverItsFirstLineIsSplit() throws IOException {
+        int firstLineLength = FIRST_REQUEST.indexOf("\r\n") + 2;
+        for (int cut = 1; cut <= firstLineLength; cut++) {
+            Capture capture = read(new CaptureFileBuilder(ByteOrder.LITTLE_ENDIAN, false, 101)
+                    .add(0, 9, 99, 2, "")
+                    .add(1, 9, 100, 16, FIRST_REQUEST.substring(0, cut))
+                    .add(2, 9, 100 + cut, 16, FIRST_REQUEST.substring(cut) + SECOND_REQUEST)
+                    .bytes());
+            assertEquals(List.of("/api?n=1", "/api?n=2"), uris(capture), "cut at " + cut);
+            assertEquals(0, capture.incompleteCount(), "cut at " + cut);
+        }
+    }
+
+    /** Guards against taking the end of a request that started in a gap for the start of the next one. */
+    @Test
+    void aRequestIsReadBehindBytesThatLookLikeTheStartOfOne() throws IOException {
+        Capture capture = read(new CaptureFileBuilder(ByteOrder.LITTLE_ENDIAN, false, 101)
+                .add(1, 9, 100, 16, "TAIL")
+                .add(2, 9, 104, 16, FIRST_REQUEST)
+                .bytes());
+        assertEquals(List.of("/api?n=1"), uris(capture));
+    }
+
+    /** Guards against a request that is left out and counted nowhere. */
+    @Test
+    void aFirstLineThatIsCutOffIsCountedAsIncomplete() throws IOException {
+        Capture capture = read(new CaptureFileBuilder(ByteOrder.LITTLE_ENDIAN, false, 101)
+                .add(0, 9, 99, 2, "")
+                .add(1, 9, 100, 16, FIRST_REQUEST.substring(0, 12))
+                .bytes());
+        assertEquals(List.of(), uris(capture));
+        assertEquals(1, capture.incompleteCount());
+    }
+
     @Test
     void aGapLosesOnlyOneRequestAndAReusedPortIsANewFlow() throws IOException {
         Capture capture = read(new CaptureFileBuilder(ByteOrder.LITTLE_ENDIAN, false, 101)
