--- a/src/main/java/nettlewick/net/client/ClientConnection.java
+++ b/src/main/java/nettlewick/net/client/ClientConnection.java
@@ -4,12 +4,10 @@
 import io.netty.buffer.ByteBufHolder;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.ChannelPromise;
-import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.HttpContent;
@@ -36,8 +34,6 @@
 final class ClientConnection extends ChannelDuplexHandler {
     /** Complete requests that may wait behind the one in flight. */
     private static final int MAX_PIPELINED_REQUESTS = 4;
-    /** A close is read after the bytes sent before it; so many reads empty the largest buffer of a socket. */
-    private static final int MAX_READS_TO_DETECT_CLOSE = 512;
     /** The response to a complete request that precedes a rejected one; harmless to repeat. */
     private static final FramingValidator.Rejection PRECEDES_REJECTED =
             new FramingValidator.Rejection(429, "what came behind it is refused");
@@ -58,6 +54,7 @@
     private final boolean sendsRetryAfter;
     private final ClientConnectionState state;
     private final PipelinedRequests requests;
+    private final UnreadInput unreadInput = new UnreadInput();
     private ChannelHandlerContext context;
     private long discardedBytes;
     /** Bytes of responses that the socket had not accepted at the last check. */
@@ -66,9 +63,6 @@
     private FramingValidator.Rejection rejection;
 
     private double arrivedAt;
-    /** Whether bytes have arrived since this was last reset. */
-    private boolean hasReceivedBytes;
-
     private boolean isPostRequest;
     private boolean resultSent;
     private boolean closeAfterResponse;
@@ -110,7 +104,7 @@
 
     /** Called for any bytes that arrive. */
     void bytesReceived() {
-        hasReceivedBytes = true;
+        unreadInput.bytesReceived();
         state.bytesReceived(clock.nowMillis());
     }
 
@@ -133,7 +127,7 @@
     }
 
     private void discard(Object message) {
-        hasReceivedBytes = true;
+        unreadInput.bytesReceived();
         discardedBytes += message instanceof ByteBuf bytes
                 ? bytes.readableBytes()
                 : message instanceof ByteBufHolder holder ? holder.content().readableBytes() : 0;
@@ -176,23 +170,8 @@
      * loop was busy, and be unread: so the socket is read before this method returns.
      */
     boolean isConnected() {
-        Channel channel = context.channel();
-        if (channel.unsafe() instanceof AbstractNioChannel.NioUnsafe unsafe) {
-            readUnreadBytes(unsafe);
-        }
-        return channel.isActive();
-    }
-
-    private void readUnreadBytes(AbstractNioChannel.NioUnsafe unsafe) {
-        hasReceivedBytes = true;
-        for (int i = 0;
-                i < MAX_READS_TO_DETECT_CLOSE
-                        && hasReceivedBytes
-                        && context.channel().isActive();
-                i++) {
-            hasReceivedBytes = false;
-            unsafe.read();
-        }
+        unreadInput.readAll(context.channel());
+        return context.channel().isActive();
     }
 
     /**
--- a/src/main/java/nettlewick/net/client/HttpFrontend.java
+++ b/src/main/java/nettlewick/net/client/HttpFrontend.java
@@ -26,7 +26,7 @@
     private static final int ACCEPT_BACKLOG = 1024;
     private static final int MAX_HEADER_BYTES = 8 * 1024;
     private static final int MAX_LINE_BYTES = 4 * 1024;
-    /** The requests of all clients of a frontend use one part in this many of the heap; results and all else the rest. */
+    /** The requests of all clients of a frontend use one part in this many of the heap. */
     private static final long HEAP_DIVISOR = 3;
     /** Most bytes read from one client in an iteration of the event loop. */
     private static final int MAX_READ_BYTES = 16 * 1024;
--- a/src/main/java/nettlewick/net/client/RequestByteBudget.java
+++ b/src/main/java/nettlewick/net/client/RequestByteBudget.java
@@ -4,8 +4,8 @@
 import java.util.Set;
 
 /**
- * The bytes of requests that all clients of a frontend may use together: of the unfinished ones, of those that wait, and
- * of those in flight. Runs on the event loop.
+ * The bytes of requests that all clients of a frontend may use together: of the unfinished ones, of those that wait,
+ * and of those in flight. Runs on the event loop.
  */
 final class RequestByteBudget {
     private final long maxBytes;
--- a/src/test/java/nettlewick/net/ServedRequestReleaseTest.java
+++ b/src/test/java/nettlewick/net/ServedRequestReleaseTest.java
@@ -48,7 +48,7 @@
         }
     }
 
-    /** Guards against a heap that holds both the body and the result of each request whose result waits to be written. */
+    /** Guards against a heap that holds the bodies of requests whose results wait to be written. */
     @Test
     void aRequestIsReleasedWhileItsResultWaitsForTheEventLoop() throws Exception {
         CountDownLatch eventLoopMayGoOn = new CountDownLatch(1);
--- a/src/test/java/nettlewick/sse/SlowStreamReaderTest.java
+++ b/src/test/java/nettlewick/sse/SlowStreamReaderTest.java
@@ -67,9 +67,9 @@
     }
 
     /**
-     * Opens a connection with a small receive buffer on which nothing is read but the beginning of the stream, and waits
-     * for the stream's end. The endpoint responds only when this client and the one that watches for the end are both
-     * attached: the second of them could otherwise come after the end of a stream that is not retained.
+     * Opens a connection with a small receive buffer on which only the beginning of the stream is read, and waits for
+     * the stream's end. The endpoint responds once this client and the one that watches for the end are both attached:
+     * the second of them could otherwise come after the end of a stream that is not retained.
      */
     private Socket openUnreadStream(int progressLines, int resultLength) throws Exception {
         CompletableFuture<HttpServerRequest> received = new CompletableFuture<>();
